Add the build, the design page and the core model

Cause: the repository was empty. Change: Maven modules with formatter and linter, docs/design.md, the shared records of core.model, and the events and actions of the control plane and the gate, so that the modules can be built in parallel against them.

--- /dev/null
+++ b/config/src/main/java/org/siskintiller/config/package-info.java
@@ -0,0 +1,2 @@
+/** Parsing of INI settings and of published configuration. */
+package org.siskintiller.config;
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/gate/DispatchOutcome.java
@@ -0,0 +1,26 @@
+package org.siskintiller.core.gate;
+
+import java.util.Objects;
+
+import org.siskintiller.core.model.Bytes;
+
+/** How a dispatched request ended at the backend server. */
+public sealed interface DispatchOutcome {
+
+    /** The backend server answered in full. body is empty when it is too large to keep or not needed. */
+    record Answered(int status, String contentType, Bytes body, long durationNs) implements DispatchOutcome {
+        public Answered {
+            Objects.requireNonNull(contentType, "contentType");
+            Objects.requireNonNull(body, "body");
+        }
+    }
+
+    /** The backend server refused before it ran anything, or nothing was sent to it. */
+    record NotRun(String reason) implements DispatchOutcome {}
+
+    /** The connection broke or the answer was cut; the request may have run. */
+    record Broken(String reason) implements DispatchOutcome {}
+
+    /** No answer within the deadline; the request may have run. */
+    record TimedOut() implements DispatchOutcome {}
+}
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/model/Fence.java
@@ -0,0 +1,11 @@
+package org.siskintiller.core.model;
+
+/** Fencing token of a slot. It increases over the life of the slot. */
+public record Fence(long version, int candidateIndex) implements Comparable<Fence> {
+
+    @Override
+    public int compareTo(Fence other) {
+        int byVersion = Long.compare(version, other.version);
+        return byVersion != 0 ? byVersion : Integer.compare(candidateIndex, other.candidateIndex);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/model/StateImage.java
@@ -0,0 +1,44 @@
+package org.siskintiller.core.model;
+
+import java.util.List;
+
+/** Complete replayed state in a form that can be written to the log. Lists are in a canonical order. */
+public record StateImage(
+        long appliedOffset,
+        long configVersion,
+        ClusterConfig config,
+        List<Session> openSessions,
+        List<EndedSession> endedSessions,
+        List<SlotAssignment> slots,
+        List<HotKeyAssignment> hotKeys,
+        List<RemovedCustomer> removedCustomers,
+        List<AppliedOperation> operations) {
+
+    public StateImage {
+        openSessions = List.copyOf(openSessions);
+        endedSessions = List.copyOf(endedSessions);
+        slots = List.copyOf(slots);
+        hotKeys = List.copyOf(hotKeys);
+        removedCustomers = List.copyOf(removedCustomers);
+        operations = List.copyOf(operations);
+    }
+
+    /** Session that ended or closed, with the offset of that record. endedBy is null after a graceful close. */
+    public record EndedSession(Incarnation incarnation, long endedOffset, Incarnation endedBy) {}
+
+    /** Assignment of one slot. */
+    public record SlotAssignment(SlotId slot, Assignment assignment) {}
+
+    /** Assignment of one hot key. */
+    public record HotKeyAssignment(String service, String key, Assignment assignment) {}
+
+    /** Removed customer with the offset of the removal and the sessions that confirmed it. */
+    public record RemovedCustomer(String customer, long removalOffset, List<Incarnation> confirmed) {
+        public RemovedCustomer {
+            confirmed = List.copyOf(confirmed);
+        }
+    }
+
+    /** Operation id of an applied record and its offset. */
+    public record AppliedOperation(OperationId id, long offset) {}
+}
--- /dev/null
+++ b/ctl/src/main/java/org/siskintiller/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** Operators' command line. */
+package org.siskintiller.ctl;
--- /dev/null
+++ b/logclient/src/main/java/org/siskintiller/logclient/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the log service. */
+package org.siskintiller.logclient;
--- /dev/null
+++ b/node/src/main/java/org/siskintiller/node/package-info.java
@@ -0,0 +1,2 @@
+/** Companion process beside a backend server. */
+package org.siskintiller.node;
