--- /dev/null
+++ b/node/src/main/java/org/siskintiller/node/LogEvent.java
@@ -0,0 +1,120 @@
+package org.siskintiller.node;
+
+import org.slf4j.event.Level;
+
+/**
+ * Numbered log events of the companion. docs/log-events.md is generated from this enum.
+ *
+ * <p>Numbers: 10xx process, 11xx callers, 12xx sessions and ownership, 13xx peers, 14xx backend server, 15xx log service.
+ */
+public enum LogEvent {
+    STARTED(1001, Level.INFO, "companion started", "none"),
+    SETTINGS_INVALID(1002, Level.ERROR, "settings are invalid", "correct the named key and start again"),
+    STOP_REQUESTED(1003, Level.INFO, "graceful stop requested", "none"),
+    STOPPED(1004, Level.INFO, "companion stopped", "none"),
+    STOP_TIMED_OUT(
+            1005,
+            Level.WARN,
+            "graceful stop reached its upper bound; requests that still ran were cut",
+            "raise stop_timeout_ms above the longest request"),
+    UNEXPECTED_ERROR(1006, Level.ERROR, "unexpected error", "report the stack trace; the companion goes on"),
+    LISTENING(1007, Level.INFO, "listening", "none"),
+
+    REQUEST_REJECTED(1101, Level.DEBUG, "malformed request rejected", "correct the caller"),
+    REQUEST_REFUSED(1102, Level.DEBUG, "request refused", "see the remedy in the response"),
+    RESPONSE_CUT(1103, Level.WARN, "response cut; the caller sees a broken connection", "look at the backend server"),
+    CALLERS_EXCEEDED(1104, Level.WARN, "too many callers; connection refused", "raise max_callers or add companions"),
+
+    SESSION_OPENED(1201, Level.INFO, "session opened", "none"),
+    SESSION_ENDED(1202, Level.WARN, "session ended", "none; the companion opens a new one"),
+    LEASE_ACQUIRED(1203, Level.INFO, "session lease acquired", "none"),
+    LEASE_LOST(1204, Level.WARN, "session lease lost", "check the network to the witnesses and pauses of the process"),
+    CLAIM_STARTED(1205, Level.WARN, "claiming the slots of a lapsed session", "look at the instance of that session"),
+    CLAIM_GRANTED(1206, Level.WARN, "claim granted by the witnesses", "none"),
+    SLOTS_OPENED(1207, Level.INFO, "slots opened", "none"),
+    SLOTS_CLOSED(1208, Level.INFO, "slots closed", "none"),
+    SLOTS_RELEASED(1209, Level.INFO, "slots released", "none"),
+    WITNESSES_CHANGED(1210, Level.INFO, "witnesses changed", "none"),
+    ASSIGNMENT_PROPOSED(1211, Level.INFO, "assignment proposed", "none"),
+    RECORD_VOID(1212, Level.INFO, "record is void", "none; a competing record came first"),
+    SNAPSHOT_PROPOSED(1213, Level.INFO, "snapshot proposed", "none"),
+    CATCH_UP_STARTED(1214, Level.INFO, "catching up with another companion", "none"),
+    INCARNATION_RETIRED(1215, Level.WARN, "incarnation retired; a new one starts", "none"),
+    CONFIG_IN_FORCE(1216, Level.INFO, "configuration in force", "none"),
+    CONTROL_FAILED(1217, Level.ERROR, "control plane failed; the process exits", "report the stack trace"),
+
+    PEER_CONNECTED(1301, Level.DEBUG, "connected to a companion", "none"),
+    PEER_CONNECT_FAILED(1302, Level.DEBUG, "cannot connect to a companion", "check the peer address and the network"),
+    PEER_MALFORMED(
+            1303, Level.WARN, "malformed data from a companion; connection closed", "check versions and network"),
+    PEER_STREAM_RESET(1304, Level.DEBUG, "stream to a companion reset", "none"),
+    PEER_MISMATCH(
+            1305,
+            Level.ERROR,
+            "response with another request's id discarded",
+            "report it; the request is answered unknown"),
+    PEER_UNREACHABLE(1306, Level.DEBUG, "no address of a companion known", "none; the message is sent again"),
+    DATAGRAM_MALFORMED(1307, Level.WARN, "malformed datagram dropped", "check who sends to the peer port"),
+
+    BACKEND_ANNOUNCED(1401, Level.INFO, "backend server announced itself", "none"),
+    BACKEND_ANNOUNCEMENT_INVALID(1402, Level.WARN, "invalid announcement", "correct the backend server"),
+    BACKEND_CHANGED(1403, Level.WARN, "backend server changed between serving and not serving", "look at the reason"),
+    BACKEND_LEAVING(1404, Level.INFO, "backend server is leaving; drain started", "none"),
+    BACKEND_GRANT_FAILED(1405, Level.WARN, "grants not accepted", "check PUT /grants of the backend server"),
+    BACKEND_LOAD_FAILED(1406, Level.DEBUG, "load not reported", "check GET /load of the backend server"),
+
+    LOG_UNAVAILABLE(
+            1501, Level.WARN, "log service unavailable", "restore the log service; sessions and takeover go on"),
+    LOG_AVAILABLE(1502, Level.INFO, "log service available", "none"),
+    LOG_EXPIRED(1503, Level.INFO, "records expired; reading from the first retained offset", "none"),
+    LOG_MALFORMED(1504, Level.ERROR, "malformed record in the log skipped", "find the writer of that offset"),
+    LOG_APPEND_UNCERTAIN(1505, Level.WARN, "append unanswered", "none; it is sent again with the same operation id"),
+    LOG_QUEUE_FULL(1506, Level.WARN, "append queue full; record dropped for a later retry", "restore the log service");
+
+    private final int number;
+    private final Level level;
+    private final String text;
+    private final String remedy;
+
+    LogEvent(int number, Level level, String text, String remedy) {
+        this.number = number;
+        this.level = level;
+        this.text = text;
+        this.remedy = remedy;
+    }
+
+    /** Returns the identifier in log lines, such as SIS-1203. */
+    public String id() {
+        return "SIS-" + number;
+    }
+
+    public Level level() {
+        return level;
+    }
+
+    public String text() {
+        return text;
+    }
+
+    public String remedy() {
+        return remedy;
+    }
+
+    /** Returns the catalogue of all events in Markdown. */
+    public static String catalogue() {
+        StringBuilder page = new StringBuilder();
+        page.append("# Log events\n\n");
+        page.append("Every log line of a companion carries one of these numbers. This page is generated from\n");
+        page.append("`org.siskintiller.node.LogEvent`; a test compares both.\n\n");
+        page.append("| event | level | meaning | remedy |\n| --- | --- | --- | --- |\n");
+        for (LogEvent event : values()) {
+            page.append("| ").append(event.id()).append(" | ").append(event.level);
+            page.append(" | ")
+                    .append(event.text)
+                    .append(" | ")
+                    .append(event.remedy)
+                    .append(" |\n");
+        }
+        return page.toString();
+    }
+}
