Add replay of the control stream and a simple planner

Every companion has to reach the same state from the same records, and a record that races with another must name the version that it builds on. Replay applies one record to an immutable state that shares unchanged parts (hash trie, chunked slot tables). SpreadPlanner proposes assignments by slot count behind the Planner interface.

--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/departure/package-info.java
@@ -0,0 +1,2 @@
+/** Proof that a removed customer's traffic has stopped. */
+package org.siskintiller.core.departure;
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/invariant/InvariantViolation.java
@@ -0,0 +1,17 @@
+package org.siskintiller.core.invariant;
+
+import java.util.Objects;
+
+/** A promise would be broken. The companion must stop serving. */
+public final class InvariantViolation extends RuntimeException {
+    private final Invariant invariant;
+
+    public InvariantViolation(Invariant invariant, String detail) {
+        super(invariant + ": " + detail);
+        this.invariant = Objects.requireNonNull(invariant, "invariant");
+    }
+
+    public Invariant invariant() {
+        return invariant;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/invariant/package-info.java
@@ -0,0 +1,2 @@
+/** Named invariants that stay checked in production. */
+package org.siskintiller.core.invariant;
--- a/core/src/main/java/org/siskintiller/core/model/ClusterConfig.java
+++ b/core/src/main/java/org/siskintiller/core/model/ClusterConfig.java
@@ -1,5 +1,6 @@
 package org.siskintiller.core.model;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -51,4 +52,10 @@
     public ClusterConfig withActivePreset(String preset) {
         return new ClusterConfig(services, ranks, customers, presets, preset);
     }
+
+    public ClusterConfig withoutCustomer(String customer) {
+        List<CustomerConfig> kept = new ArrayList<>(customers);
+        kept.removeIf(each -> each.name().equals(customer));
+        return new ClusterConfig(services, ranks, kept, presets, activePreset);
+    }
 }
--- a/core/src/main/java/org/siskintiller/core/model/StateImage.java
+++ b/core/src/main/java/org/siskintiller/core/model/StateImage.java
@@ -1,5 +1,6 @@
 package org.siskintiller.core.model;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /** Complete replayed state in a form that can be written to the log. Lists are in a canonical order. */
@@ -37,6 +38,16 @@
         public RemovedCustomer {
             confirmed = List.copyOf(confirmed);
         }
+
+        /** Adds the confirmation of a session. */
+        public RemovedCustomer confirmedBy(Incarnation session) {
+            if (confirmed.contains(session)) {
+                return this;
+            }
+            List<Incarnation> sessions = new ArrayList<>(confirmed);
+            sessions.add(session);
+            return new RemovedCustomer(customer, removalOffset, sessions);
+        }
     }
 
     /** Operation id of an applied record and its offset. */
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/ownership/package-info.java
@@ -0,0 +1,2 @@
+/** Ownership of slots: activation, takeover and release. */
+package org.siskintiller.core.ownership;
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/placement/SpreadPlanner.java
@@ -0,0 +1,165 @@
+package org.siskintiller.core.placement;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.siskintiller.core.model.Assignment;
+import org.siskintiller.core.model.AssignmentChange;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.model.LogRecord;
+import org.siskintiller.core.model.ServiceConfig;
+import org.siskintiller.core.model.Session;
+import org.siskintiller.core.replay.ClusterState;
+
+/** Planner that spreads slots by count. It ignores loads. */
+public final class SpreadPlanner implements Planner {
+    /** Slots moved at once towards a session with fewer slots. */
+    private static final int MAX_REBALANCED_SLOTS = 8;
+
+    @Override
+    public List<LogRecord> propose(ClusterState state, Incarnation self, LoadView loads, long nowNs) {
+        Optional<Session> session = state.session(self);
+        if (session.isEmpty()) {
+            return List.of();
+        }
+        String service = session.get().backendServer().service();
+        Optional<ServiceConfig> config = state.config().service(service);
+        if (config.isEmpty()) {
+            return List.of();
+        }
+        Plan plan = new Plan(state, config.get());
+        if (plan.owned.isEmpty()) {
+            return List.of();
+        }
+        List<AssignmentChange> changes = plan.repairs();
+        String reason = "repair";
+        if (changes.isEmpty()) {
+            changes = plan.rebalance();
+            reason = "balance";
+        }
+        return changes.isEmpty() ? List.of() : List.of(new LogRecord.SlotsAssigned(service, changes, self, reason));
+    }
+
+    /** Working state of one proposal. */
+    private static final class Plan {
+        private final ClusterState state;
+        private final ServiceConfig config;
+        private final Map<Incarnation, Integer> owned = new LinkedHashMap<>();
+        private final Map<Incarnation, Integer> standing = new LinkedHashMap<>();
+        private final Map<Incarnation, String> domains = new LinkedHashMap<>();
+
+        Plan(ClusterState state, ServiceConfig config) {
+            this.state = state;
+            this.config = config;
+            for (Incarnation each : state.sessionsOf(config.name())) {
+                Session session = state.session(each).orElseThrow();
+                if (!session.draining()) {
+                    owned.put(each, 0);
+                    standing.put(each, 0);
+                    domains.put(each, session.failureDomain());
+                }
+            }
+            for (int slot = 0; slot < config.slots(); slot++) {
+                List<Incarnation> candidates =
+                        state.assignment(config.name(), slot).candidates();
+                for (int i = 0; i < candidates.size(); i++) {
+                    (i == 0 ? owned : standing).computeIfPresent(candidates.get(i), (key, count) -> count + 1);
+                }
+            }
+        }
+
+        List<AssignmentChange> repairs() {
+            int standbys = Math.min(config.standbys(), owned.size() - 1);
+            List<AssignmentChange> changes = new ArrayList<>();
+            for (int slot = 0; slot < config.slots(); slot++) {
+                Assignment current = state.assignment(config.name(), slot);
+                List<Incarnation> candidates = usable(current);
+                boolean ownerUsable = !candidates.isEmpty()
+                        && candidates.get(0).equals(current.candidates().get(0));
+                if (ownerUsable && candidates.size() == 1 + standbys && isWhole(current)) {
+                    continue;
+                }
+                if (ownerUsable && candidates.size() > standbys) {
+                    continue;
+                }
+                changes.add(new AssignmentChange(slot, current.version(), complete(candidates, standbys)));
+            }
+            return changes;
+        }
+
+        List<AssignmentChange> rebalance() {
+            List<AssignmentChange> changes = new ArrayList<>();
+            for (int slot = 0; slot < config.slots() && changes.size() < MAX_REBALANCED_SLOTS; slot++) {
+                Assignment current = state.assignment(config.name(), slot);
+                if (current.activatedBy() == null || !current.predecessors().isEmpty()) {
+                    continue;
+                }
+                Incarnation from = current.candidates().get(0);
+                Incarnation to = least(owned, Set.of(), Set.of());
+                if (owned.getOrDefault(from, 0) < owned.get(to) + 2) {
+                    continue;
+                }
+                owned.merge(from, -1, Integer::sum);
+                List<Incarnation> candidates = new ArrayList<>(List.of(to));
+                owned.merge(to, 1, Integer::sum);
+                changes.add(new AssignmentChange(
+                        slot,
+                        current.version(),
+                        complete(candidates, current.candidates().size() - 1)));
+            }
+            return changes;
+        }
+
+        private boolean isWhole(Assignment current) {
+            return usable(current).size() == current.candidates().size();
+        }
+
+        private List<Incarnation> usable(Assignment current) {
+            List<Incarnation> candidates = new ArrayList<>();
+            for (Incarnation each : current.candidates()) {
+                if (owned.containsKey(each)) {
+                    candidates.add(each);
+                }
+            }
+            return candidates;
+        }
+
+        private List<Incarnation> complete(List<Incarnation> candidates, int standbys) {
+            List<Incarnation> chosen = new ArrayList<>(candidates);
+            if (chosen.isEmpty()) {
+                chosen.add(least(owned, Set.of(), Set.of()));
+                owned.merge(chosen.get(0), 1, Integer::sum);
+            }
+            while (chosen.size() < 1 + standbys) {
+                Set<String> usedDomains = new HashSet<>();
+                chosen.forEach(each -> usedDomains.add(domains.get(each)));
+                Incarnation next = least(standing, new HashSet<>(chosen), usedDomains);
+                chosen.add(next);
+                standing.merge(next, 1, Integer::sum);
+            }
+            return chosen;
+        }
+
+        /** Session with the fewest slots, in a failure domain that is not used yet where there is one. */
+        private Incarnation least(Map<Incarnation, Integer> counts, Set<Incarnation> without, Set<String> usedDomains) {
+            Incarnation best = null;
+            boolean bestFresh = false;
+            for (Map.Entry<Incarnation, Integer> each : counts.entrySet()) {
+                if (without.contains(each.getKey())) {
+                    continue;
+                }
+                boolean fresh = !usedDomains.contains(domains.get(each.getKey()));
+                if (best == null || fresh && !bestFresh || fresh == bestFresh && each.getValue() < counts.get(best)) {
+                    best = each.getKey();
+                    bestFresh = fresh;
+                }
+            }
+            return best;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Planners that propose assignments. */
+package org.siskintiller.core.placement;
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/replay/AssignmentReplay.java
@@ -0,0 +1,128 @@
+package org.siskintiller.core.replay;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.siskintiller.core.model.Assignment;
+import org.siskintiller.core.model.AssignmentChange;
+import org.siskintiller.core.model.HotKeyChange;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.model.LogRecord;
+import org.siskintiller.core.model.Session;
+import org.siskintiller.core.model.SlotVersion;
+import org.siskintiller.core.model.StateImage.EndedSession;
+import org.siskintiller.core.replay.Outcome.Accepted;
+import org.siskintiller.core.replay.Outcome.Reason;
+import org.siskintiller.core.replay.Outcome.Void;
+
+/** Replay of the records that assign and activate slots. */
+final class AssignmentReplay {
+
+    private AssignmentReplay() {}
+
+    static Outcome assign(ClusterState.Builder next, LogRecord.SlotsAssigned record) {
+        SlotTable table = next.slots.get(record.service());
+        if (table == null) {
+            return new Void(Reason.INVALID, "service " + record.service() + " is unknown");
+        }
+        SlotTable.Editor editor = table.edit();
+        List<Integer> voidSlots = new ArrayList<>();
+        for (AssignmentChange change : record.changes()) {
+            if (change.slot() < 0 || change.slot() >= table.slots()) {
+                voidSlots.add(change.slot());
+                continue;
+            }
+            Assignment current = editor.get(change.slot());
+            if (current.version() != change.baseVersion()
+                    || !validCandidates(next, record.service(), current, change.candidates())) {
+                voidSlots.add(change.slot());
+                continue;
+            }
+            editor.set(
+                    change.slot(),
+                    new Assignment(current.version() + 1, change.candidates(), predecessors(next, current), null));
+        }
+        if (voidSlots.size() == record.changes().size()) {
+            return new Void(Reason.STALE_VERSION, "no change of service " + record.service() + " is valid");
+        }
+        next.slots = next.slots.with(record.service(), editor.build());
+        return new Accepted(voidSlots);
+    }
+
+    static Outcome activate(ClusterState.Builder next, LogRecord.SlotsActivated record) {
+        SlotTable table = next.slots.get(record.service());
+        if (table == null) {
+            return new Void(Reason.INVALID, "service " + record.service() + " is unknown");
+        }
+        SlotTable.Editor editor = table.edit();
+        List<Integer> voidSlots = new ArrayList<>();
+        for (SlotVersion each : record.slots()) {
+            Assignment current = table.get(each.slot());
+            if (current.version() != each.version() || !current.isCandidate(record.incarnation())) {
+                voidSlots.add(each.slot());
+                continue;
+            }
+            editor.set(
+                    each.slot(),
+                    new Assignment(current.version(), current.candidates(), Set.of(), record.incarnation()));
+        }
+        if (voidSlots.size() == record.slots().size()) {
+            return new Void(Reason.STALE_VERSION, "no slot of service " + record.service() + " is at that version");
+        }
+        next.slots = next.slots.with(record.service(), editor.build());
+        return new Accepted(voidSlots);
+    }
+
+    static Outcome assignHotKeys(ClusterState.Builder next, LogRecord.HotKeysAssigned record) {
+        int valid = 0;
+        for (HotKeyChange change : record.changes()) {
+            ClusterState.HotKey key = new ClusterState.HotKey(record.service(), change.key());
+            Assignment known = next.hotKeys.get(key);
+            Assignment current = known == null ? Assignment.NONE : known;
+            if (current.version() != change.baseVersion()
+                    || !validCandidates(next, record.service(), current, change.candidates())) {
+                continue;
+            }
+            valid++;
+            next.hotKeys = next.hotKeys.with(
+                    key, new Assignment(current.version() + 1, change.candidates(), predecessors(next, current), null));
+        }
+        return valid == 0 ? new Void(Reason.STALE_VERSION, "no hot key change is valid") : Accepted.WHOLE;
+    }
+
+    /** Candidates are distinct open sessions of the service. A draining session gets no slot that it does not own. */
+    private static boolean validCandidates(
+            ClusterState.Builder next, String service, Assignment current, List<Incarnation> candidates) {
+        if (new HashSet<>(candidates).size() != candidates.size()) {
+            return false;
+        }
+        for (Incarnation candidate : candidates) {
+            Session session = next.open.get(candidate);
+            if (session == null || !session.backendServer().service().equals(service)) {
+                return false;
+            }
+            if (session.draining() && !current.isCandidate(candidate)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Sessions that closed gracefully are left out. Those that ended by a claim stay until the next activation, since
+     * their backend servers may still run a request for a moment.
+     */
+    private static Set<Incarnation> predecessors(ClusterState.Builder next, Assignment current) {
+        Set<Incarnation> predecessors = new HashSet<>(current.predecessors());
+        predecessors.addAll(current.candidates());
+        predecessors.removeIf(each -> !next.open.containsKey(each) && !endedByClaim(next, each));
+        return predecessors;
+    }
+
+    private static boolean endedByClaim(ClusterState.Builder next, Incarnation incarnation) {
+        EndedSession end = next.ended.get(incarnation);
+        return end != null && end.endedBy() != null;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/session/package-info.java
@@ -0,0 +1,2 @@
+/** Session leases and their witnesses. */
+package org.siskintiller.core.session;
