--- /dev/null
+++ b/node/src/main/java/org/siskintiller/node/backend/BackendCall.java
@@ -0,0 +1,29 @@
+package org.siskintiller.node.backend;
+
+import java.io.InputStream;
+import java.util.function.BooleanSupplier;
+
+import org.siskintiller.core.model.Fence;
+import org.siskintiller.node.request.RequestHead;
+import org.siskintiller.node.request.ResponseSink;
+
+/**
+ * One request to the backend server.
+ *
+ * @param slot slot number, -1 for a request without slot
+ * @param fence fencing token, or null
+ * @param rank rank under which the gate admitted the request
+ * @param mayDispatch asked directly before the request is written
+ * @param keepBody whether the answer is kept for repeats of the request
+ */
+public record BackendCall(
+        RequestHead head,
+        InputStream body,
+        ResponseSink sink,
+        int slot,
+        Fence fence,
+        String rank,
+        long deadlineNs,
+        BooleanSupplier mayDispatch,
+        boolean keepBody,
+        CallCancel cancel) {}
--- /dev/null
+++ b/node/src/main/java/org/siskintiller/node/http/CallerServer.java
@@ -0,0 +1,186 @@
+package org.siskintiller.node.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import org.siskintiller.core.model.Address;
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
+import org.siskintiller.node.request.Header;
+import org.siskintiller.node.request.InboundRequest;
+import org.siskintiller.node.request.LimitedInputStream;
+import org.siskintiller.node.request.Problem;
+import org.siskintiller.node.request.RequestHandler;
+
+/** HTTP server to callers and operators. Each exchange holds one thread of a bounded pool. */
+public final class CallerServer implements AutoCloseable {
+    private static final String OPERATOR_PREFIX = "/_siskin/";
+    private static final String THREAD_PREFIX = "caller-";
+    private static final int BACKLOG = 1024;
+    private static final long IDLE_THREAD_S = 30;
+
+    private final HttpServer server;
+    private final ThreadPoolExecutor threads;
+    private final RequestParser parser;
+    private final HttpLimits limits;
+    private final RequestHandler handler;
+    private final OperatorPaths operatorPaths;
+
+    public CallerServer(
+            Address address,
+            HttpLimits limits,
+            RequestParser parser,
+            RequestHandler handler,
+            OperatorPaths operatorPaths)
+            throws IOException {
+        configureServer(limits);
+        this.limits = limits;
+        this.parser = parser;
+        this.handler = handler;
+        this.operatorPaths = operatorPaths;
+        AtomicInteger number = new AtomicInteger();
+        // A task that finds no free thread runs on the server's own thread, which refuses it at once.
+        threads = new ThreadPoolExecutor(
+                0,
+                limits.maxCallers(),
+                IDLE_THREAD_S,
+                TimeUnit.SECONDS,
+                new SynchronousQueue<>(),
+                task -> {
+                    Thread thread = new Thread(task, THREAD_PREFIX + number.incrementAndGet());
+                    thread.setDaemon(true);
+                    return thread;
+                },
+                new ThreadPoolExecutor.CallerRunsPolicy());
+        server = HttpServer.create(new InetSocketAddress(address.host(), address.port()), BACKLOG);
+        server.setExecutor(threads);
+        server.createContext("/", this::handle);
+    }
+
+    /** Sets the limits that the JDK server reads once from system properties. Given properties win. */
+    private static void configureServer(HttpLimits limits) {
+        long seconds = Math.max(1, limits.requestTimeoutMs() / 1000) + 5;
+        Map<String, String> properties = Map.of(
+                "sun.net.httpserver.maxReqTime", Long.toString(seconds),
+                "sun.net.httpserver.maxRspTime", Long.toString(2 * seconds),
+                "sun.net.httpserver.maxReqHeaders", "200",
+                "sun.net.httpserver.maxIdleConnections", Integer.toString(limits.maxCallers()),
+                "sun.net.httpserver.nodelay", "true",
+                "jdk.httpserver.maxConnections", Integer.toString(4 * limits.maxCallers()));
+        properties.forEach((name, value) -> {
+            if (System.getProperty(name) == null) {
+                System.setProperty(name, value);
+            }
+        });
+    }
+
+    public void start() {
+        server.start();
+    }
+
+    public Address address() {
+        InetSocketAddress bound = server.getAddress();
+        return new Address(bound.getAddress().getHostAddress(), bound.getPort());
+    }
+
+    /** Requests in execution. */
+    public int running() {
+        return threads.getActiveCount();
+    }
+
+    private void handle(HttpExchange exchange) throws IOException {
+        ExchangeSink sink = new ExchangeSink(exchange);
+        boolean overloaded = !Thread.currentThread().getName().startsWith(THREAD_PREFIX);
+        if (overloaded) {
+            EventLog.log(LogEvent.CALLERS_EXCEEDED, "max_callers " + limits.maxCallers());
+            rejectAndClose(
+                    exchange,
+                    sink,
+                    new Problem(
+                            503,
+                            "too-many-callers",
+                            "the companion serves " + limits.maxCallers() + " callers already",
+                            org.siskintiller.core.gate.RefusalKind.Outcome.NOT_RUN,
+                            "retry later or at another companion",
+                            1000));
+            return;
+        }
+        if (exchange.getRequestURI().getRawPath() != null
+                && exchange.getRequestURI().getRawPath().startsWith(OPERATOR_PREFIX)) {
+            operatorPaths.handle(exchange);
+            return;
+        }
+        serve(exchange, sink);
+    }
+
+    private void serve(HttpExchange exchange, ExchangeSink sink) throws IOException {
+        if (!exchange.getProtocol().equalsIgnoreCase("HTTP/1.1")) {
+            // A cut response to an HTTP/1.0 caller would look complete, since the end of the connection ends the body.
+            rejectAndClose(exchange, sink, Problem.notRun(505, "version", "only HTTP/1.1 is accepted", "use HTTP/1.1"));
+            return;
+        }
+        Parsed parsed = parser.parse(exchange.getRequestMethod(), target(exchange.getRequestURI()), headers(exchange));
+        if (parsed instanceof Parsed.Rejected) {
+            Problem problem = ((Parsed.Rejected) parsed).problem();
+            EventLog.log(LogEvent.REQUEST_REJECTED, problem.detail());
+            rejectAndClose(exchange, sink, problem);
+            return;
+        }
+        var head = ((Parsed.Ok) parsed).head();
+        InputStream body =
+                new LimitedInputStream(exchange.getRequestBody(), limits.maxBodyBytes(), head.contentLength());
+        handler.serve(new InboundRequest(head, body, sink));
+        if (sink.aborted() || !sink.started()) {
+            throw new ResponseCutException();
+        }
+    }
+
+    /** Answers and closes the connection, so that no rest of this request is read as another one. */
+    private static void rejectAndClose(HttpExchange exchange, ExchangeSink sink, Problem problem) throws IOException {
+        exchange.getResponseHeaders().set("Connection", "close");
+        sink.refuse(problem);
+        throw new ResponseCutException();
+    }
+
+    private static String target(URI uri) {
+        String path = uri.getRawPath() == null || uri.getRawPath().isEmpty() ? "/" : uri.getRawPath();
+        return uri.getRawQuery() == null ? path : path + "?" + uri.getRawQuery();
+    }
+
+    private static List<Header> headers(HttpExchange exchange) {
+        List<Header> headers = new ArrayList<>();
+        exchange.getRequestHeaders().forEach((name, values) -> {
+            for (String value : values) {
+                headers.add(new Header(name, value));
+            }
+        });
+        return headers;
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+        threads.shutdownNow();
+    }
+
+    /**
+     * Leaves the handler so that the JDK server closes the connection without the end of a chunked body. Closing the
+     * exchange would write that end, and a cut response would look complete.
+     */
+    private static final class ResponseCutException extends IOException {
+        ResponseCutException() {
+            super("response cut");
+        }
+    }
+}
