--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/placement/Member.java
@@ -0,0 +1,18 @@
+package org.siskintiller.core.placement;
+
+import org.siskintiller.core.model.Incarnation;
+
+/**
+ * Session that may own slots, as the planner weighs it.
+ *
+ * @param weight share of the service's load that it should carry, relative to the other members
+ * @param joining whether its share still rises after it joined
+ */
+record Member(Incarnation incarnation, String failureDomain, double weight, boolean joining) {
+
+    Member {
+        if (weight <= 0) {
+            throw new IllegalArgumentException("weight " + weight + " is not positive");
+        }
+    }
+}
