Add the control plane with sessions, witnesses and ownership

Cause: companions must agree on slot owners without a coordinator, also while the log is down. Failures are not tested yet.

--- a/core/src/main/java/org/siskintiller/core/control/ControlEvent.java
+++ b/core/src/main/java/org/siskintiller/core/control/ControlEvent.java
@@ -5,6 +5,7 @@
 import org.siskintiller.core.model.LogEntry;
 import org.siskintiller.core.model.OperationId;
 import org.siskintiller.core.model.PeerMessage;
+import org.siskintiller.core.model.RequestRecord;
 import org.siskintiller.core.model.SlotVersion;
 
 /** Input of the control plane. */
@@ -29,10 +30,19 @@
     /** A message of another companion arrived. */
     record MessageReceived(PeerMessage message) implements ControlEvent {}
 
-    /** Nothing of these slots is queued or runs any more. Answers {@link ControlAction.CloseSlots}. */
-    record SlotsQuiesced(String service, List<SlotVersion> slots) implements ControlEvent {
+    /**
+     * Nothing of these slots is queued or runs any more. Answers {@link ControlAction.CloseSlots}.
+     *
+     * @param records request records of the slots, which go to the next owner
+     */
+    record SlotsQuiesced(String service, List<SlotVersion> slots, List<RequestRecord> records) implements ControlEvent {
         public SlotsQuiesced {
             slots = List.copyOf(slots);
+            records = List.copyOf(records);
+        }
+
+        public SlotsQuiesced(String service, List<SlotVersion> slots) {
+            this(service, slots, List.of());
         }
     }
 
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/control/ControlPlane.java
@@ -0,0 +1,273 @@
+package org.siskintiller.core.control;
+
+import java.util.List;
+import java.util.Map;
+
+import org.siskintiller.core.departure.Departures;
+import org.siskintiller.core.model.Fence;
+import org.siskintiller.core.model.LogEntry;
+import org.siskintiller.core.model.PeerMessage;
+import org.siskintiller.core.model.Session;
+import org.siskintiller.core.model.SlotId;
+import org.siskintiller.core.ownership.OwnershipTable;
+import org.siskintiller.core.ownership.ReleaseAnswers;
+import org.siskintiller.core.placement.Planner;
+import org.siskintiller.core.replay.ClusterState;
+import org.siskintiller.core.session.Claims;
+import org.siskintiller.core.session.EndRegistry;
+import org.siskintiller.core.session.SessionLease;
+import org.siskintiller.core.session.Witness;
+import org.siskintiller.core.session.WitnessChanges;
+
+/**
+ * State machine of one companion run. The same events at the same times give the same actions. It is not safe for use
+ * by several threads.
+ */
+public final class ControlPlane {
+    private final ControlContext context;
+    private final Appender appender;
+    private final RecordRelay relay;
+    private final SessionLease lease;
+    private final WitnessChanges witnessChanges;
+    private final Claims claims;
+    private final Witness witness;
+    private final OwnershipTable table;
+    private final ReleaseAnswers answers;
+    private final Departures departures;
+    private final SessionOpener opener;
+    private final LoadBook loads;
+    private final PlannerDriver planner;
+    private final SnapshotProposer snapshots;
+    private final Shutdown shutdown;
+    private final RecordDispatch records;
+
+    /** Creates the control plane of one companion run. The seed must differ between runs. */
+    public ControlPlane(Session self, long seed, Planner planner) {
+        this(self, seed, planner, SnapshotProposer.RECORDS_PER_SNAPSHOT);
+    }
+
+    public ControlPlane(Session self, long seed, Planner planner, int recordsPerSnapshot) {
+        context = new ControlContext(self);
+        appender = new Appender(context, seed);
+        relay = new RecordRelay(context);
+        EndRegistry ends = new EndRegistry(context);
+        lease = new SessionLease(context);
+        witnessChanges = new WitnessChanges(context, lease, appender);
+        claims = new Claims(context, ends, appender, relay);
+        witness = new Witness(context, claims);
+        table = new OwnershipTable(context, lease, ends, claims, appender);
+        answers = new ReleaseAnswers(context, table, lease, relay);
+        departures = new Departures(context, appender);
+        opener = new SessionOpener(context, appender);
+        loads = new LoadBook(context);
+        this.planner = new PlannerDriver(context, appender, planner, loads);
+        snapshots = new SnapshotProposer(context, appender, recordsPerSnapshot);
+        shutdown = new Shutdown(context, appender, opener, lease, table);
+        records = new RecordDispatch(this, ends);
+        claims.onEnded(table::onEnded);
+    }
+
+    /** Handles one event and returns the actions in the order in which they must be carried out. */
+    public List<ControlAction> handle(ControlEvent event, long nowNs) {
+        if (shutdown.isOver()) {
+            return List.of();
+        }
+        context.advanceTo(nowNs);
+        if (lease.isHopeless()) {
+            shutdown.retire("the lease was lost and its witnesses cannot renew it");
+            return context.takeActions();
+        }
+        dispatch(event);
+        finish();
+        return context.takeActions();
+    }
+
+    /** Replayed state through the applied offset. */
+    public ClusterState state() {
+        return context.state();
+    }
+
+    /** Whether the session lease runs at this time. */
+    public boolean holdsLease(long nowNs) {
+        return !shutdown.isOver() && lease.holds(nowNs);
+    }
+
+    /** Slots that the gate has open, with their fences. */
+    public Map<SlotId, Fence> openSlots() {
+        return table.openSlots();
+    }
+
+    private void dispatch(ControlEvent event) {
+        if (event instanceof ControlEvent.Tick) {
+            tick();
+        } else if (event instanceof ControlEvent.MessageReceived) {
+            receive(((ControlEvent.MessageReceived) event).message());
+        } else if (event instanceof ControlEvent.RecordsRead) {
+            ControlEvent.RecordsRead read = (ControlEvent.RecordsRead) event;
+            apply(read.entries());
+            if (read.atTail() && !relay.hasGap()) {
+                claims.onTail();
+                opener.onTail();
+            }
+        } else if (event instanceof ControlEvent.AppendStored) {
+            appender.onStored(((ControlEvent.AppendStored) event).operationId());
+        } else if (event instanceof ControlEvent.AppendUncertain) {
+            appender.onUncertain(((ControlEvent.AppendUncertain) event).operationId());
+        } else if (event instanceof ControlEvent.SlotsQuiesced) {
+            ControlEvent.SlotsQuiesced quiesced = (ControlEvent.SlotsQuiesced) event;
+            answers.onQuiesced(quiesced.service(), quiesced.slots(), quiesced.records());
+        } else if (event instanceof ControlEvent.LoadMeasured) {
+            loads.onMeasured((ControlEvent.LoadMeasured) event);
+        } else if (event instanceof ControlEvent.BackendServerChanged) {
+            onBackendServer(((ControlEvent.BackendServerChanged) event).serving());
+        } else if (event instanceof ControlEvent.RecordsInLogRequested) {
+            lease.announceRecordsInLog();
+        } else if (event instanceof ControlEvent.CustomerQuiesced) {
+            ControlEvent.CustomerQuiesced quiesced = (ControlEvent.CustomerQuiesced) event;
+            departures.onQuiesced(quiesced.customer(), quiesced.removalOffset());
+        } else if (event instanceof ControlEvent.StopRequested) {
+            shutdown.requestStop(((ControlEvent.StopRequested) event).requestedBy());
+        }
+    }
+
+    private void tick() {
+        lease.tick();
+        witnessChanges.tick();
+        witness.tick();
+        claims.tick();
+        table.tick();
+        relay.tick();
+        appender.tick();
+        planner.tick(lease.holds(context.nowNs()));
+        snapshots.tick(lease.holds(context.nowNs()));
+        shutdown.tick();
+    }
+
+    private void receive(PeerMessage message) {
+        if (message instanceof PeerMessage.Heartbeat) {
+            PeerMessage.Heartbeat heartbeat = (PeerMessage.Heartbeat) message;
+            relay.heard(heartbeat.holder(), heartbeat.appliedOffset());
+            witness.onHeartbeat(heartbeat);
+        } else if (message instanceof PeerMessage.HeartbeatAck) {
+            PeerMessage.HeartbeatAck ack = (PeerMessage.HeartbeatAck) message;
+            relay.heard(ack.witness(), ack.appliedOffset());
+            lease.onAck(ack);
+            witnessChanges.onAck();
+            answers.onMarked();
+        } else if (message instanceof PeerMessage.LapseNotice) {
+            claims.start(((PeerMessage.LapseNotice) message).holder());
+        } else if (message instanceof PeerMessage.EndClaim) {
+            PeerMessage.EndClaim claim = (PeerMessage.EndClaim) message;
+            relay.heard(claim.claimant(), claim.appliedOffset());
+            witness.onClaim(claim);
+        } else if (message instanceof PeerMessage.EndClaimReply) {
+            PeerMessage.EndClaimReply reply = (PeerMessage.EndClaimReply) message;
+            relay.heard(reply.witness(), reply.mark());
+            claims.onReply(reply);
+        } else if (message instanceof PeerMessage.ReleaseRequest) {
+            answers.onRequest((PeerMessage.ReleaseRequest) message);
+        } else if (message instanceof PeerMessage.Released) {
+            table.onReleased((PeerMessage.Released) message);
+        } else if (message instanceof PeerMessage.FetchRecords) {
+            relay.onFetch((PeerMessage.FetchRecords) message);
+        } else if (message instanceof PeerMessage.Records) {
+            apply(((PeerMessage.Records) message).entries());
+        } else if (message instanceof PeerMessage.ReplicateRecords) {
+            replicate((PeerMessage.ReplicateRecords) message);
+        } else if (message instanceof PeerMessage.ReplicateAck) {
+            PeerMessage.ReplicateAck ack = (PeerMessage.ReplicateAck) message;
+            context.emit(new ControlAction.RecordsReplicated(ack.from(), ack.sequence()));
+        } else if (message instanceof PeerMessage.LoadReport) {
+            loads.onReport((PeerMessage.LoadReport) message);
+        }
+    }
+
+    /** Stores records of an owner, unless its slot is served here by now: its records would replace newer ones. */
+    private void replicate(PeerMessage.ReplicateRecords message) {
+        if (message.records().stream().anyMatch(each -> table.isOpen(each.slot()))) {
+            return;
+        }
+        context.emit(new ControlAction.StoreRecords(message.reset(), message.records()));
+        context.send(message.from(), new PeerMessage.ReplicateAck(context.self(), message.sequence()));
+    }
+
+    private void onBackendServer(boolean serving) {
+        opener.onBackendServer(serving);
+        if (!serving) {
+            shutdown.onBackendServerLost();
+        }
+    }
+
+    private void apply(List<LogEntry> entries) {
+        relay.accept(entries);
+        if (records.applyAll()) {
+            context.emit(new ControlAction.StateChanged(
+                    context.state().appliedOffset(), context.state().configVersion()));
+            claims.onApplied();
+            answers.onApplied();
+        }
+    }
+
+    /** Carries out what the event made possible, including messages of this companion to itself. */
+    private void finish() {
+        while (!shutdown.isOver()) {
+            if (lease.holds(context.nowNs())) {
+                table.onLeaseAcquired();
+            }
+            table.flush();
+            PeerMessage local = context.pollLocal();
+            if (local == null) {
+                return;
+            }
+            receive(local);
+        }
+    }
+
+    ControlContext context() {
+        return context;
+    }
+
+    Appender appender() {
+        return appender;
+    }
+
+    RecordRelay relay() {
+        return relay;
+    }
+
+    SessionLease lease() {
+        return lease;
+    }
+
+    WitnessChanges witnessChanges() {
+        return witnessChanges;
+    }
+
+    Witness witness() {
+        return witness;
+    }
+
+    OwnershipTable table() {
+        return table;
+    }
+
+    Departures departures() {
+        return departures;
+    }
+
+    SessionOpener opener() {
+        return opener;
+    }
+
+    LoadBook loads() {
+        return loads;
+    }
+
+    PlannerDriver planner() {
+        return planner;
+    }
+
+    Shutdown shutdown() {
+        return shutdown;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/control/RecordDispatch.java
@@ -0,0 +1,172 @@
+package org.siskintiller.core.control;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.siskintiller.core.model.Assignment;
+import org.siskintiller.core.model.AssignmentChange;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.model.LogEntry;
+import org.siskintiller.core.model.LogRecord;
+import org.siskintiller.core.model.Session;
+import org.siskintiller.core.model.SlotId;
+import org.siskintiller.core.model.SlotVersion;
+import org.siskintiller.core.replay.ClusterState;
+import org.siskintiller.core.replay.Outcome;
+import org.siskintiller.core.replay.Replay;
+import org.siskintiller.core.session.EndRegistry;
+
+/** Applies records and tells each part of the control plane what concerns it. */
+final class RecordDispatch {
+    private final ControlPlane plane;
+    private final EndRegistry ends;
+
+    RecordDispatch(ControlPlane plane, EndRegistry ends) {
+        this.plane = plane;
+        this.ends = ends;
+    }
+
+    /** Applies all records that follow without a gap. Returns whether the state has changed. */
+    boolean applyAll() {
+        boolean changed = false;
+        while (!plane.shutdown().isOver()) {
+            LogEntry entry = plane.relay().next();
+            if (entry != null) {
+                apply(entry);
+                changed = true;
+                continue;
+            }
+            ClusterState snapshot = plane.relay().snapshot();
+            if (snapshot == null) {
+                break;
+            }
+            adopt(snapshot);
+            changed = true;
+        }
+        return changed;
+    }
+
+    private void apply(LogEntry entry) {
+        ClusterState before = plane.context().state();
+        Replay.Step step = Replay.apply(before, entry);
+        plane.context().replaceState(step.state());
+        boolean own = plane.appender().onRead(entry.operationId());
+        boolean accepted = step.outcome() instanceof Outcome.Accepted;
+        if (own && !accepted) {
+            plane.context().report(ControlNotice.RECORD_VOID, step.outcome().toString());
+            plane.opener().onVoid(entry.operationId());
+        }
+        if (entry.record() instanceof LogRecord.WitnessesChanged) {
+            onWitnesses(entry, (LogRecord.WitnessesChanged) entry.record(), accepted);
+        } else if (accepted) {
+            onAccepted(entry.record(), before);
+        }
+    }
+
+    private void onAccepted(LogRecord record, ClusterState before) {
+        if (record instanceof LogRecord.SlotsAssigned) {
+            onAssigned((LogRecord.SlotsAssigned) record, before);
+        } else if (record instanceof LogRecord.SlotsActivated) {
+            LogRecord.SlotsActivated activated = (LogRecord.SlotsActivated) record;
+            for (SlotVersion each : activated.slots()) {
+                plane.table().onActivated(new SlotId(activated.service(), each.slot()));
+            }
+            plane.planner().onChanged();
+        } else if (record instanceof LogRecord.SessionOpened) {
+            onOpened(((LogRecord.SessionOpened) record).session());
+        } else if (record instanceof LogRecord.SessionEnded) {
+            LogRecord.SessionEnded end = (LogRecord.SessionEnded) record;
+            onEnded(end.incarnation(), end.endedBy());
+        } else if (record instanceof LogRecord.SessionClosed) {
+            onEnded(((LogRecord.SessionClosed) record).incarnation(), null);
+        } else if (record instanceof LogRecord.DrainRequested || record instanceof LogRecord.PresetSwitched) {
+            plane.planner().onChanged();
+        } else if (record instanceof LogRecord.ConfigPublished) {
+            plane.table().onConfigChanged();
+            plane.departures().onChanged();
+            plane.planner().onChanged();
+        } else if (record instanceof LogRecord.CustomerRemoved) {
+            plane.departures().onChanged();
+        } else if (record instanceof LogRecord.Snapshot) {
+            ends.prune();
+        }
+    }
+
+    private void onAssigned(LogRecord.SlotsAssigned record, ClusterState before) {
+        for (AssignmentChange each : record.changes()) {
+            Assignment earlier = before.assignment(record.service(), each.slot());
+            Assignment current = plane.context().state().assignment(record.service(), each.slot());
+            if (current.version() != earlier.version()) {
+                plane.table().onAssigned(new SlotId(record.service(), each.slot()), earlier);
+            }
+        }
+        plane.planner().onChanged();
+    }
+
+    private void onOpened(Session session) {
+        if (session.incarnation().equals(plane.context().self())) {
+            opened(session);
+        } else if (session.witnesses().contains(plane.context().self())) {
+            plane.witness().onNamed(session.incarnation());
+        }
+        plane.planner().onChanged();
+    }
+
+    private void opened(Session session) {
+        plane.context().report(ControlNotice.SESSION_OPENED, session.witnesses().size() + " witnesses");
+        plane.lease().opened(session.witnesses());
+        plane.departures().onChanged();
+        plane.shutdown().onOpened();
+    }
+
+    private void onEnded(Incarnation ended, Incarnation endedBy) {
+        if (ended.equals(plane.context().self())) {
+            plane.shutdown().onOwnSessionEnded(endedBy);
+            return;
+        }
+        ends.find(ended);
+        plane.table().onEnded(ended);
+        plane.loads().onEnded(ended);
+        plane.planner().onChanged();
+    }
+
+    private void onWitnesses(LogEntry entry, LogRecord.WitnessesChanged change, boolean accepted) {
+        if (change.incarnation().equals(plane.context().self())) {
+            plane.witnessChanges().onRead(entry.operationId(), change, accepted);
+        } else if (accepted && change.witnesses().contains(plane.context().self())) {
+            plane.witness().onNamed(change.incarnation());
+        }
+    }
+
+    /** Continues from a snapshot when the records before it are no longer available. */
+    private void adopt(ClusterState snapshot) {
+        Incarnation self = plane.context().self();
+        List<Incarnation> present = new ArrayList<>();
+        plane.context().state().forEachOpenSession(session -> present.add(session.incarnation()));
+        plane.context().replaceState(snapshot);
+        plane.appender().onStateReplaced();
+        plane.opener().onStateReplaced();
+        Session own = snapshot.session(self).orElse(null);
+        if (own != null && !plane.lease().isOpen()) {
+            opened(own);
+        } else if (own == null && plane.lease().isOpen()) {
+            plane.shutdown().onOwnSessionEnded(self);
+            return;
+        } else if (own != null && !own.witnesses().equals(plane.lease().witnesses())) {
+            plane.witnessChanges().onStateReplaced(own.witnesses());
+        }
+        snapshot.forEachOpenSession(session -> {
+            if (session.witnesses().contains(self)) {
+                plane.witness().onNamed(session.incarnation());
+            }
+        });
+        plane.table().rebuild();
+        for (Incarnation each : present) {
+            if (!snapshot.isOpen(each)) {
+                onEnded(each, each);
+            }
+        }
+        plane.departures().onChanged();
+        plane.planner().onChanged();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/control/Shutdown.java
@@ -0,0 +1,211 @@
+package org.siskintiller.core.control;
+
+import org.siskintiller.core.invariant.Invariant;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.model.LogRecord;
+import org.siskintiller.core.model.Session;
+import org.siskintiller.core.ownership.OwnershipTable;
+import org.siskintiller.core.session.SessionLease;
+import org.siskintiller.core.session.SessionTiming;
+
+/** Ends the own incarnation: a planned stop, the loss of the backend server, or the loss of the lease. */
+final class Shutdown {
+    /** A log that has not stored a record for this long is taken to be down. */
+    private static final long LOG_TIMEOUT_NS = 3_000 * SessionTiming.MS;
+    /** Slots that nobody took over by then are closed here, and their standbys take over. */
+    private static final long DRAIN_TIMEOUT_NS = 20_000 * SessionTiming.MS;
+    /** The lease is given up repeatedly for this long, since datagrams may be lost. */
+    private static final long GIVE_UP_NS = 300 * SessionTiming.MS;
+
+    private final ControlContext context;
+    private final Appender appender;
+    private final SessionOpener opener;
+    private final SessionLease lease;
+    private final OwnershipTable table;
+    private Phase phase = Phase.NONE;
+    private String requestedBy;
+    private String reason;
+    private long sinceNs;
+    private long nextGiveUpNs;
+
+    Shutdown(
+            ControlContext context, Appender appender, SessionOpener opener, SessionLease lease, OwnershipTable table) {
+        this.context = context;
+        this.appender = appender;
+        this.opener = opener;
+        this.lease = lease;
+        this.table = table;
+    }
+
+    boolean isOver() {
+        return phase == Phase.OVER;
+    }
+
+    void requestStop(String newRequestedBy) {
+        if (phase != Phase.NONE) {
+            return;
+        }
+        requestedBy = newRequestedBy;
+        if (lease.isOpen()) {
+            drain();
+        } else if (opener.cancel()) {
+            enter(Phase.STOP_WHEN_OPENED);
+        } else {
+            stopped();
+        }
+    }
+
+    /** The own session was read from the log. */
+    void onOpened() {
+        if (phase == Phase.STOP_WHEN_OPENED) {
+            drain();
+        } else if (!opener.isServing()) {
+            onBackendServerLost();
+        }
+    }
+
+    /** Gives the slots to their standbys at once: nothing can be served here. */
+    void onBackendServerLost() {
+        if (!lease.isOpen() || phase == Phase.GIVING_UP || phase == Phase.OVER) {
+            return;
+        }
+        reason = "the backend server was lost";
+        if (phase == Phase.NONE) {
+            requestedBy = null;
+        }
+        giveUp();
+    }
+
+    /** The log ended the own session. */
+    void onOwnSessionEnded(Incarnation endedBy) {
+        if (phase == Phase.CLOSING) {
+            stopped();
+        } else if (phase == Phase.GIVING_UP) {
+            leave();
+        } else {
+            retire(endedBy == null ? "the session was closed" : "the session was ended by " + endedBy);
+        }
+    }
+
+    void retire(String why) {
+        phase = Phase.OVER;
+        context.emit(new ControlAction.LeaseExtended(Long.MIN_VALUE));
+        context.report(ControlNotice.SESSION_ENDED, why);
+        context.emit(new ControlAction.Retire(why));
+    }
+
+    void tick() {
+        switch (phase) {
+            case STOP_WHEN_OPENED:
+                if (elapsed(LOG_TIMEOUT_NS)) {
+                    stopped();
+                }
+                break;
+            case DRAINING:
+                tickDraining();
+                break;
+            case QUIESCING:
+                if (table.openCount() == 0) {
+                    close();
+                }
+                break;
+            case CLOSING:
+                if (elapsed(LOG_TIMEOUT_NS)) {
+                    giveUp();
+                }
+                break;
+            case GIVING_UP:
+                tickGivingUp();
+                break;
+            default:
+                break;
+        }
+    }
+
+    private void drain() {
+        enter(Phase.DRAINING);
+        appender.append(new LogRecord.DrainRequested(context.self(), requestedBy));
+    }
+
+    private void tickDraining() {
+        boolean draining =
+                context.state().session(context.self()).map(Session::draining).orElse(false);
+        boolean moved = draining && table.openCount() == 0;
+        boolean nobodyElse = draining && !hasSuccessor();
+        boolean logDown = !draining && elapsed(LOG_TIMEOUT_NS);
+        if (moved || nobodyElse || logDown || elapsed(DRAIN_TIMEOUT_NS)) {
+            enter(Phase.QUIESCING);
+            table.stop();
+        }
+    }
+
+    private boolean hasSuccessor() {
+        String service = context.ownSession().backendServer().service();
+        for (Incarnation each : context.state().sessionsOf(service)) {
+            if (!context.state().session(each).orElseThrow().draining()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void close() {
+        enter(Phase.CLOSING);
+        appender.append(new LogRecord.SessionClosed(context.self()));
+    }
+
+    private void giveUp() {
+        enter(Phase.GIVING_UP);
+        table.stop();
+        if (lease.witnesses().isEmpty()) {
+            appender.append(new LogRecord.SessionClosed(context.self()));
+        }
+        tickGivingUp();
+    }
+
+    private void tickGivingUp() {
+        if (context.nowNs() >= nextGiveUpNs) {
+            nextGiveUpNs = context.nowNs() + SessionTiming.RETRY_INTERVAL_NS;
+            lease.giveUp();
+        }
+        // Without witnesses only the log can end the session.
+        if (elapsed(lease.witnesses().isEmpty() ? LOG_TIMEOUT_NS : GIVE_UP_NS)) {
+            leave();
+        }
+    }
+
+    private void leave() {
+        if (requestedBy != null) {
+            stopped();
+        } else {
+            retire(reason);
+        }
+    }
+
+    private void stopped() {
+        Invariant.GRACEFUL_STOP.check(
+                table.openCount() == 0 || reason != null, table.openCount() + " slots are still open at the stop");
+        phase = Phase.OVER;
+        context.emit(new ControlAction.Stopped());
+    }
+
+    private void enter(Phase next) {
+        phase = next;
+        sinceNs = context.nowNs();
+    }
+
+    private boolean elapsed(long durationNs) {
+        return context.nowNs() - sinceNs >= durationNs;
+    }
+
+    /** Progress of the end. */
+    private enum Phase {
+        NONE,
+        STOP_WHEN_OPENED,
+        DRAINING,
+        QUIESCING,
+        CLOSING,
+        GIVING_UP,
+        OVER
+    }
+}
--- a/core/src/main/java/org/siskintiller/core/ownership/KeyHash.java
+++ b/core/src/main/java/org/siskintiller/core/ownership/KeyHash.java
@@ -1,7 +1,5 @@
 package org.siskintiller.core.ownership;
 
-import java.nio.charset.StandardCharsets;
-
 import net.openhft.hashing.LongHashFunction;
 
 /** Maps keys to hash slots. Every companion must use the same function, so seed and encoding are fixed. */
@@ -20,11 +18,6 @@
 
     /** Returns the 64-bit hash of a key of a service. */
     public static long hash(String service, String key) {
-        byte[] name = service.getBytes(StandardCharsets.UTF_8);
-        byte[] value = key.getBytes(StandardCharsets.UTF_8);
-        byte[] both = new byte[name.length + 1 + value.length];
-        System.arraycopy(name, 0, both, 0, name.length);
-        System.arraycopy(value, 0, both, name.length + 1, value.length);
-        return HASH.hashBytes(both);
+        return HASH.hashChars(service + '\0' + key);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/ownership/OwnershipTable.java
@@ -0,0 +1,359 @@
+package org.siskintiller.core.ownership;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.siskintiller.core.control.Appender;
+import org.siskintiller.core.control.ControlAction;
+import org.siskintiller.core.control.ControlContext;
+import org.siskintiller.core.invariant.Invariant;
+import org.siskintiller.core.model.Assignment;
+import org.siskintiller.core.model.Fence;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.model.PeerMessage;
+import org.siskintiller.core.model.RequestRecord;
+import org.siskintiller.core.model.Session;
+import org.siskintiller.core.model.SlotId;
+import org.siskintiller.core.model.SlotVersion;
+import org.siskintiller.core.ownership.Activation.Verdict;
+import org.siskintiller.core.session.Claims;
+import org.siskintiller.core.session.EndRegistry;
+import org.siskintiller.core.session.SessionLease;
+
+/**
+ * Slots that concern this companion as a candidate or predecessor. An entry is looked at again only when what it waits
+ * for has happened.
+ */
+public final class OwnershipTable {
+    private final ControlContext context;
+    private final SessionLease lease;
+    private final EndRegistry ends;
+    private final Activation activation;
+    private final ReleaseRequests requests;
+    private final SlotOpenings openings;
+    private final Map<SlotId, SlotEntry> entries = new LinkedHashMap<>();
+    private final Map<Incarnation, Set<SlotEntry>> waiting = new LinkedHashMap<>();
+    private final Set<SlotEntry> waitingForLease = new LinkedHashSet<>();
+    private final TreeMap<Long, List<SlotEntry>> timers = new TreeMap<>();
+    private int openCount;
+    private boolean stopped;
+
+    public OwnershipTable(
+            ControlContext context, SessionLease lease, EndRegistry ends, Claims claims, Appender appender) {
+        this.context = context;
+        this.lease = lease;
+        this.ends = ends;
+        this.activation = new Activation(context, ends);
+        this.requests = new ReleaseRequests(context, claims);
+        this.openings = new SlotOpenings(context, appender);
+    }
+
+    /** A slot's assignment changed. earlier is the assignment before. */
+    public void onAssigned(SlotId slot, Assignment earlier) {
+        Assignment current = context.state().assignment(slot.service(), slot.slot());
+        SlotEntry entry = entries.get(slot);
+        if (entry == null && !concerns(current)) {
+            return;
+        }
+        entry = entry(slot);
+        if (earlier.activatedBy() != null) {
+            entry.earlierServer = earlier.activatedBy();
+            entry.earlierVersion = earlier.version();
+        }
+        update(entry, current);
+    }
+
+    /** A slot's activation was recorded: its predecessors are cleared. */
+    public void onActivated(SlotId slot) {
+        SlotEntry entry = entries.get(slot);
+        if (entry == null) {
+            return;
+        }
+        Assignment current = context.state().assignment(slot.service(), slot.slot());
+        if (!context.self().equals(current.activatedBy()) && entry.open == null && !entry.closing) {
+            entry.records = List.of();
+        }
+        update(entry, current);
+    }
+
+    /** Looks at all slots again after the state was taken from a snapshot. */
+    public void rebuild() {
+        context.state().forEachAssignment((slot, assignment) -> {
+            SlotEntry known = entries.get(slot);
+            if (known == null && concerns(assignment)) {
+                update(entry(slot), assignment);
+            } else if (known != null && known.assignment.version() != assignment.version()) {
+                known.earlierServer = null;
+                update(known, assignment);
+            } else if (known != null) {
+                update(known, assignment);
+            }
+        });
+    }
+
+    /** Configuration changed: slots of services that appeared may open. */
+    public void onConfigChanged() {
+        new ArrayList<>(entries.values()).forEach(this::evaluate);
+    }
+
+    /** A session ended, by a claim of this companion or by the log. */
+    public void onEnded(Incarnation ended) {
+        Set<SlotEntry> blocked = waiting.remove(ended);
+        if (blocked != null) {
+            blocked.forEach(entry -> {
+                entry.awaited.remove(ended);
+                requests.unwant(ended, entry.id);
+            });
+            blocked.forEach(this::evaluate);
+        }
+        for (SlotEntry entry : entries.values()) {
+            if (ended.equals(entry.standby) && entry.open != null && !entry.closing) {
+                entry.standby = standbyOf(entry);
+                openings.open(entry, entry.standby, true, false);
+            }
+        }
+    }
+
+    public void onLeaseAcquired() {
+        List<SlotEntry> ready = new ArrayList<>(waitingForLease);
+        waitingForLease.clear();
+        ready.forEach(this::evaluate);
+    }
+
+    /** A predecessor promised never to serve slots below the named versions. */
+    public void onReleased(PeerMessage.Released released) {
+        Set<SlotId> wanted = new HashSet<>();
+        List<SlotEntry> ready = new ArrayList<>();
+        for (SlotVersion each : released.slots()) {
+            SlotEntry entry = entries.get(new SlotId(released.service(), each.slot()));
+            if (entry == null || entry.hasReleased(released.from())) {
+                continue;
+            }
+            entry.released.merge(released.from(), each.version(), Math::max);
+            if (entry.hasReleased(released.from()) && entry.awaited.remove(released.from())) {
+                requests.unwant(released.from(), entry.id);
+                waiting.get(released.from()).remove(entry);
+                wanted.add(entry.id);
+                ready.add(entry);
+            }
+        }
+        storeRecords(released, wanted);
+        ready.forEach(this::evaluate);
+    }
+
+    /** Records of a repeated or late message are left out: newer ones may exist here by now. */
+    private void storeRecords(PeerMessage.Released released, Set<SlotId> wanted) {
+        List<RequestRecord> records = new ArrayList<>();
+        for (RequestRecord each : released.records()) {
+            if (wanted.contains(each.slot())) {
+                records.add(each);
+            }
+        }
+        if (!records.isEmpty()) {
+            context.emit(new ControlAction.StoreRecords(false, records));
+        }
+    }
+
+    public void tick() {
+        while (!timers.isEmpty() && timers.firstKey() <= context.nowNs()) {
+            timers.pollFirstEntry().getValue().forEach(this::evaluate);
+        }
+        openings.tick();
+    }
+
+    /** Ends the call: emits what was collected. */
+    public void flush() {
+        openings.flush();
+        requests.flush();
+    }
+
+    /** Number of slots that the gate has open or quiesces. */
+    public int openCount() {
+        return openCount;
+    }
+
+    public boolean isOpen(SlotId slot) {
+        SlotEntry entry = entries.get(slot);
+        return entry != null && entry.open != null;
+    }
+
+    /** Slots open here with their fences, sorted. */
+    public Map<SlotId, Fence> openSlots() {
+        Map<SlotId, Fence> open = new TreeMap<>();
+        entries.forEach((slot, entry) -> {
+            if (entry.open != null) {
+                open.put(slot, entry.open);
+            }
+        });
+        return open;
+    }
+
+    /** Opens nothing more and quiesces all open slots. */
+    public void stop() {
+        if (stopped) {
+            return;
+        }
+        stopped = true;
+        Map<String, List<SlotVersion>> closing = new TreeMap<>();
+        for (SlotEntry entry : entries.values()) {
+            if (entry.open != null && !entry.closing) {
+                entry.closing = true;
+                closing.computeIfAbsent(entry.id.service(), key -> new ArrayList<>())
+                        .add(new SlotVersion(entry.id.slot(), entry.open.version()));
+            }
+        }
+        closing.forEach((service, slots) -> context.emit(new ControlAction.CloseSlots(service, slots)));
+    }
+
+    SlotEntry entry(SlotId slot) {
+        return entries.computeIfAbsent(slot, key -> {
+            SlotEntry entry = new SlotEntry(key);
+            entry.assignment = context.state().assignment(key.service(), key.slot());
+            return entry;
+        });
+    }
+
+    SlotEntry find(SlotId slot) {
+        return entries.get(slot);
+    }
+
+    /** The gate has quiesced the slot. */
+    void closed(SlotEntry entry) {
+        entry.open = null;
+        entry.closing = false;
+        openCount--;
+        evaluate(entry);
+    }
+
+    private boolean concerns(Assignment assignment) {
+        return assignment.isCandidate(context.self())
+                || assignment.predecessors().contains(context.self());
+    }
+
+    private void update(SlotEntry entry, Assignment current) {
+        Invariant.ASSIGNMENT_DURABLE.check(
+                current.version() >= entry.assignment.version(),
+                entry.id + " would fall from version " + entry.assignment.version() + " to " + current.version());
+        entry.assignment = current;
+        stopWaiting(entry);
+        if (entry.isUnused(context.self())) {
+            entries.remove(entry.id);
+            return;
+        }
+        if (entry.isOpenAtAssignment() && !entry.closing) {
+            refreshStandby(entry);
+        }
+        evaluate(entry);
+    }
+
+    private void stopWaiting(SlotEntry entry) {
+        for (Incarnation each : entry.awaited) {
+            requests.unwant(each, entry.id);
+            Set<SlotEntry> blocked = waiting.get(each);
+            if (blocked != null) {
+                blocked.remove(entry);
+            }
+        }
+        entry.awaited.clear();
+        waitingForLease.remove(entry);
+    }
+
+    private void evaluate(SlotEntry entry) {
+        if (stopped || entry.closing || entry.isOpenAtAssignment()) {
+            return;
+        }
+        Verdict verdict = activation.check(entry);
+        if (verdict instanceof Verdict.EarlierCandidate) {
+            await(((Verdict.EarlierCandidate) verdict).candidate(), entry);
+        } else if (verdict instanceof Verdict.Predecessors) {
+            for (Incarnation missing : ((Verdict.Predecessors) verdict).missing()) {
+                await(missing, entry);
+                requests.want(missing, entry.id, entry.assignment.version());
+            }
+        } else if (verdict instanceof Verdict.Running) {
+            timers.computeIfAbsent(((Verdict.Running) verdict).untilNs(), key -> new ArrayList<>())
+                    .add(entry);
+        } else if (verdict instanceof Verdict.Allowed) {
+            if (lease.holds(context.nowNs())) {
+                open(entry, (Verdict.Allowed) verdict);
+            } else {
+                waitingForLease.add(entry);
+            }
+        }
+    }
+
+    private void await(Incarnation incarnation, SlotEntry entry) {
+        entry.awaited.add(incarnation);
+        waiting.computeIfAbsent(incarnation, key -> new LinkedHashSet<>()).add(entry);
+    }
+
+    private void open(SlotEntry entry, Verdict.Allowed verdict) {
+        Fence fence = new Fence(
+                entry.assignment.version(), entry.assignment.candidates().indexOf(context.self()));
+        checkSoleOwner(entry, fence);
+        if (entry.open == null) {
+            openCount++;
+        }
+        entry.open = fence;
+        entry.highest = fence;
+        entry.records = List.of();
+        entry.markOffset = -1;
+        entry.requesters.clear();
+        entry.standby = standbyOf(entry);
+        openings.open(entry, entry.standby, verdict.recordsComplete(), verdict.readRequestsStream());
+        openings.reportActivation(entry);
+    }
+
+    /** Repeats the conditions of an activation independently of how it was reached. */
+    private void checkSoleOwner(SlotEntry entry, Fence fence) {
+        Assignment assignment = context.state().assignment(entry.id.service(), entry.id.slot());
+        Invariant.SOLE_OWNER.check(
+                lease.holds(context.nowNs()) && context.state().isOpen(context.self()),
+                entry.id + " would open without a lease");
+        Invariant.SOLE_OWNER.check(assignment.version() == fence.version(), entry.id + " would open at an old version");
+        Invariant.SOLE_OWNER.check(
+                fence.version() >= entry.promisedVersion, entry.id + " would open below a promised version");
+        Invariant.SOLE_OWNER.check(
+                entry.highest == null || fence.compareTo(entry.highest) > 0, entry.id + " would reuse fence " + fence);
+        for (Incarnation earlier : assignment.candidates().subList(0, fence.candidateIndex())) {
+            Invariant.SOLE_OWNER.check(ends.isEnded(earlier), entry.id + " may still be served by " + earlier);
+        }
+        for (Incarnation predecessor : assignment.predecessors()) {
+            Invariant.SOLE_OWNER.check(
+                    predecessor.equals(context.self()) || entry.hasReleased(predecessor) || ends.isEnded(predecessor),
+                    entry.id + " may still be served by predecessor " + predecessor);
+        }
+    }
+
+    private void refreshStandby(SlotEntry entry) {
+        Incarnation standby = standbyOf(entry);
+        if (standby != null && !standby.equals(entry.standby)) {
+            entry.standby = standby;
+            openings.open(entry, standby, true, false);
+        }
+    }
+
+    /** First later candidate that has not ended, in another failure domain where there is one. */
+    private Incarnation standbyOf(SlotEntry entry) {
+        List<Incarnation> candidates = entry.assignment.candidates();
+        String ownDomain = context.ownSession().failureDomain();
+        Incarnation sameDomain = null;
+        for (Incarnation each : candidates.subList(entry.open.candidateIndex() + 1, candidates.size())) {
+            Session session = context.state().session(each).orElse(null);
+            if (session == null || ends.isEnded(each)) {
+                continue;
+            }
+            if (!session.failureDomain().equals(ownDomain)) {
+                return each;
+            }
+            sameDomain = sameDomain == null ? each : sameDomain;
+        }
+        return sameDomain;
+    }
+}
