--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/idempotency/IdempotencyKey.java
@@ -0,0 +1,38 @@
+package org.siskintiller.core.idempotency;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.regex.Pattern;
+
+/**
+ * Idempotency key of a caller, a UUID version 7.
+ *
+ * @param text canonical lower-case form, so that both spellings of a UUID are one key
+ * @param timestampMs time at which the caller made the key, in ms of the Unix epoch
+ */
+public record IdempotencyKey(String text, long timestampMs) {
+    private static final Pattern FORM =
+            Pattern.compile("[0-9a-fA-F]{8}-[0-9a-fA-F]{4}-7[0-9a-fA-F]{3}-[89abAB][0-9a-fA-F]{3}-[0-9a-fA-F]{12}");
+    private static final int TIMESTAMP_SHIFT = 16;
+
+    public IdempotencyKey {
+        Objects.requireNonNull(text, "text");
+    }
+
+    /** Returns the key, or nothing if the text is no UUID version 7. */
+    public static Optional<IdempotencyKey> parse(String text) {
+        if (text == null || !FORM.matcher(text).matches()) {
+            return Optional.empty();
+        }
+        UUID uuid = UUID.fromString(text);
+        return Optional.of(new IdempotencyKey(uuid.toString(), uuid.getMostSignificantBits() >>> TIMESTAMP_SHIFT));
+    }
+
+    /** Makes a key from a time and random bits, for a request without a key of its own. */
+    public static IdempotencyKey of(long timestampMs, long randomHigh, long randomLow) {
+        long high = timestampMs << TIMESTAMP_SHIFT | 0x7000L | randomHigh & 0x0fffL;
+        long low = randomLow >>> 2 | 0x8000000000000000L;
+        return new IdempotencyKey(new UUID(high, low).toString(), timestampMs & 0xffffffffffffL);
+    }
+}
