--- a/core/src/main/java/org/siskintiller/core/idempotency/Idempotency.java
+++ b/core/src/main/java/org/siskintiller/core/idempotency/Idempotency.java
@@ -81,28 +81,27 @@
         secondPlace.assign(slot, standby);
     }
 
-    /** Closes a slot. Its records stay, since this companion may become its standby. */
-    public void close(SlotId slot) {
-        open.remove(slot);
-        toRead.remove(slot);
-        reading.remove(slot);
-        for (RequestRecord started : secondPlace.unassign(slot)) {
-            sink.recordNotStored(started);
-        }
-    }
-
-    /** Returns all records of a slot that this companion gives up, with a marker if it was open. */
-    public List<RequestRecord> release(SlotId slot, long version, boolean wasOpen, long unknownBeforeMs) {
+    /**
+     * Closes a slot of which nothing runs any more. Its records stay, since this companion may become its standby.
+     *
+     * @param version version that the slot is released for
+     * @return all records of the slot, with a marker if they are complete
+     */
+    public List<RequestRecord> release(SlotId slot, long version) {
         List<RequestRecord> records = new ArrayList<>();
-        if (wasOpen) {
-            records.add(new SlotMarker(slot, version, true, unknownBeforeMs).toRecord());
+        OpenRecords opened = open.remove(slot);
+        if (opened != null && !reading.contains(slot) && !toRead.contains(slot)) {
+            records.add(new SlotMarker(slot, version, true, opened.unknownBeforeMs).toRecord());
         }
+        toRead.remove(slot);
+        reading.remove(slot);
+        secondPlace.unassign(slot).forEach(sink::recordNotStored);
         records.addAll(table.ofSlot(slot));
         return records;
     }
 
     /** Wall clock time before which keys of an open slot may have run without a record. */
-    public long unknownBeforeMs(SlotId slot) {
+    private long unknownBeforeMs(SlotId slot) {
         OpenRecords records = open.get(slot);
         return records == null ? Long.MAX_VALUE : records.unknownBeforeMs;
     }
@@ -184,6 +183,8 @@
 
     /** The requests stream was read to its tail, as of the last call of {@link RecordSink#readRequestsStream}. */
     public void streamRead() {
+        // The standby got no marker before the records were complete.
+        reading.forEach(secondPlace::copyAgain);
         reading.clear();
         readStreamIfDue();
     }
--- a/core/src/main/java/org/siskintiller/core/idempotency/SecondPlace.java
+++ b/core/src/main/java/org/siskintiller/core/idempotency/SecondPlace.java
@@ -58,6 +58,14 @@
         unconfirmed.forEach(this::store);
     }
 
+    /** Copies all records of the slot to its standby again. */
+    void copyAgain(SlotId slot) {
+        StandbyLink link = linkOfSlot.get(slot);
+        if (link != null) {
+            link.attach(slot);
+        }
+    }
+
     /** Stops copying the slot. Returns started records whose storage was not confirmed. */
     List<RequestRecord> unassign(SlotId slot) {
         StandbyLink link = linkOfSlot.remove(slot);
