--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/health/EjectionLimit.java
@@ -0,0 +1,38 @@
+package org.siskintiller.core.health;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.siskintiller.core.model.Incarnation;
+
+/** Limits how many backend servers of a service are ejected at once, so that a common fault does not empty it. */
+public final class EjectionLimit {
+    private static final int LARGEST_SHARE_DIVISOR = 3;
+
+    private EjectionLimit() {}
+
+    /**
+     * Returns the ejections that take effect: the earliest ones, at most a third of all backend servers.
+     *
+     * @param total number of backend servers of the service
+     */
+    public static Set<Incarnation> effective(int total, Collection<Ejection> ejections) {
+        List<Ejection> ordered = new ArrayList<>(ejections);
+        ordered.sort(Comparator.comparingLong(Ejection::sinceNs).thenComparing(Ejection::incarnation));
+        Set<Incarnation> effective = new HashSet<>();
+        for (Ejection ejection : ordered) {
+            if (effective.size() >= total / LARGEST_SHARE_DIVISOR) {
+                break;
+            }
+            effective.add(ejection.incarnation());
+        }
+        return effective;
+    }
+
+    /** A backend server that is ejected by its companion or by the ingress companion's own results. */
+    public record Ejection(Incarnation incarnation, long sinceNs) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/quarantine/Quarantine.java
@@ -0,0 +1,112 @@
+package org.siskintiller.core.quarantine;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.siskintiller.core.gate.Suspicion;
+import org.siskintiller.core.model.Incarnation;
+
+/**
+ * Recognises requests that crash backend servers. A request is refused once two backend servers were lost while they
+ * ran it.
+ */
+public final class Quarantine {
+    /** Losses after which a request is refused. One loss may be a coincidence. */
+    public static final int LOSSES = 2;
+    /** Largest number of suspected fingerprints. The one that was suspected longest ago is forgotten first. */
+    public static final int MAX_SUSPICIONS = 10_000;
+    /** Time after which a suspicion without a new loss is forgotten. */
+    public static final long LIFETIME_NS = 3_600_000_000_000L;
+
+    private static final int MAX_LOST_AT = 8;
+
+    /** In order of the last change, oldest first. */
+    private final Map<Long, Entry> entries = new LinkedHashMap<>();
+
+    /** Records that the backend server beside the companion was lost while it ran the request. */
+    public void lost(long fingerprint, Incarnation at, long nowNs) {
+        add(fingerprint, Set.of(at), nowNs);
+    }
+
+    /** Merges what other companions saw. Suspicions that are already known do not prolong their lifetime. */
+    public void received(List<Suspicion> suspicions, long nowNs) {
+        for (Suspicion suspicion : suspicions) {
+            add(suspicion.fingerprint(), suspicion.lostAt(), nowNs);
+        }
+    }
+
+    public boolean refuses(long fingerprint, long nowNs) {
+        Entry entry = live(fingerprint, nowNs);
+        return entry != null && entry.lostAt.size() >= LOSSES;
+    }
+
+    /** Whether a backend server was lost while it ran this request. */
+    public boolean suspects(long fingerprint, long nowNs) {
+        return live(fingerprint, nowNs) != null;
+    }
+
+    /** Suspicion that travels with a response or retry of the request. */
+    public Optional<Suspicion> suspicion(long fingerprint, long nowNs) {
+        Entry entry = live(fingerprint, nowNs);
+        return entry == null ? Optional.empty() : Optional.of(new Suspicion(fingerprint, entry.lostAt));
+    }
+
+    /** Refused fingerprints, for other companions. */
+    public List<Suspicion> refused(long nowNs) {
+        List<Suspicion> refused = new ArrayList<>();
+        entries.forEach((fingerprint, entry) -> {
+            if (entry.lostAt.size() >= LOSSES && nowNs - entry.changedNs <= LIFETIME_NS) {
+                refused.add(new Suspicion(fingerprint, entry.lostAt));
+            }
+        });
+        return refused;
+    }
+
+    public int size() {
+        return entries.size();
+    }
+
+    private void add(long fingerprint, Set<Incarnation> lostAt, long nowNs) {
+        if (lostAt.isEmpty()) {
+            return;
+        }
+        Entry entry = live(fingerprint, nowNs);
+        Set<Incarnation> all = new HashSet<>(entry == null ? Set.of() : entry.lostAt);
+        for (Incarnation incarnation : lostAt) {
+            if (all.size() < MAX_LOST_AT) {
+                all.add(incarnation);
+            }
+        }
+        if (entry != null && all.size() == entry.lostAt.size()) {
+            return;
+        }
+        entries.remove(fingerprint);
+        entries.put(fingerprint, new Entry(Set.copyOf(all), nowNs));
+        forgetOld(nowNs);
+    }
+
+    private Entry live(long fingerprint, long nowNs) {
+        Entry entry = entries.get(fingerprint);
+        return entry != null && nowNs - entry.changedNs <= LIFETIME_NS ? entry : null;
+    }
+
+    private void forgetOld(long nowNs) {
+        Iterator<Entry> oldest = entries.values().iterator();
+        while (oldest.hasNext()) {
+            Entry entry = oldest.next();
+            if (entries.size() <= MAX_SUSPICIONS && nowNs - entry.changedNs <= LIFETIME_NS) {
+                return;
+            }
+            oldest.remove();
+        }
+    }
+
+    /** Losses that coincided with one fingerprint. */
+    private record Entry(Set<Incarnation> lostAt, long changedNs) {}
+}
