Connect admission, request records, quarantine and health in the gate

Cause: the first gate dispatched in order of arrival only. Change: Arrival, Dispatcher, Completion and Quiescing are the steps of a request around one context. Suspected requests run one at a time, so that a crash points to one of them. Slots, customers and the whole gate report when nothing of them is left. ResponseBegan is a new, optional event that tells the gate of a response with a long body.

--- a/core/src/main/java/org/siskintiller/core/gate/Gate.java
+++ b/core/src/main/java/org/siskintiller/core/gate/Gate.java
@@ -1,39 +1,49 @@
 package org.siskintiller.core.gate;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Objects;
+import java.util.Optional;
 
-import org.siskintiller.core.gate.GateDecision.Refusal;
+import org.siskintiller.core.admission.AdmissionSettings;
+import org.siskintiller.core.admission.RankLoad;
+import org.siskintiller.core.control.ControlAction.OpenSlot;
+import org.siskintiller.core.idempotency.KeyWindow;
+import org.siskintiller.core.idempotency.RecordSink;
 import org.siskintiller.core.model.BackendServer;
-import org.siskintiller.core.model.Fence;
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.model.RequestId;
+import org.siskintiller.core.model.RequestRecord;
+import org.siskintiller.core.model.ServiceConfig;
+import org.siskintiller.core.model.SlotId;
 
-/** State machine of the request path in front of one backend server. Not safe for use by several threads. */
+/**
+ * State machine of the request path in front of one backend server. Not safe for use by several threads.
+ *
+ * <p>Every Dispatch is answered by one Finished event, also after a Cancel and when {@link #mayDispatch} forbids the
+ * write. In the last case the outcome is NotRun.
+ */
 public final class Gate {
-    private static final int QUEUE_LIMIT = 1000;
-    private static final long RETRY_AFTER_MS = 100;
-
-    private final BackendServer backendServer;
-    private final Incarnation own;
-    private final Slots slots = new Slots();
-    private final Deque<GateRequest> queue = new ArrayDeque<>();
-    private final Map<RequestId, Running> running = new HashMap<>();
-    private final Map<RefusalKind, Long> refused = new EnumMap<>(RefusalKind.class);
-    private long leaseExpiryNs = Long.MIN_VALUE;
-    private boolean draining;
-    private long dispatched;
-    private long answered;
+    private final GateContext context;
+    private final Arrival arrival;
+    private final Dispatcher dispatcher;
+    private final Completion completion;
+    private final Quiescing quiescing;
 
     public Gate(BackendServer backendServer, Incarnation own) {
-        this.backendServer = Objects.requireNonNull(backendServer, "backendServer");
-        this.own = Objects.requireNonNull(own, "own");
+        this(backendServer, own, true);
+    }
+
+    /**
+     * Creates a gate.
+     *
+     * @param storeBeforeDispatch false only in tests that show what happens without a second place of records
+     */
+    Gate(BackendServer backendServer, Incarnation own, boolean storeBeforeDispatch) {
+        this.context = new GateContext(backendServer, own, new Sink(), storeBeforeDispatch);
+        this.arrival = new Arrival(context);
+        this.dispatcher = new Dispatcher(context);
+        this.completion = new Completion(context);
+        this.quiescing = new Quiescing(context);
     }
 
     /**
@@ -43,115 +53,176 @@
      * @param wallMs wall clock time
      */
     public List<GateDecision> handle(GateEvent event, long nowNs, long wallMs) {
-        List<GateDecision> decisions = new ArrayList<>();
-        if (event instanceof GateEvent.Arrived) {
-            arrive(((GateEvent.Arrived) event).request(), nowNs, decisions);
-        } else if (event instanceof GateEvent.Finished) {
-            finish((GateEvent.Finished) event, decisions);
-        } else if (event instanceof GateEvent.SlotsOpened) {
-            slots.open((GateEvent.SlotsOpened) event);
-        } else if (event instanceof GateEvent.SlotsClosing) {
-            slots.close((GateEvent.SlotsClosing) event);
-        } else if (event instanceof GateEvent.LeaseExtended) {
-            leaseExpiryNs = ((GateEvent.LeaseExtended) event).expiryNs();
-        } else if (event instanceof GateEvent.DrainStarted) {
-            draining = true;
-        }
-        dispatchWaiting(nowNs, decisions);
-        return decisions;
+        context.nowNs = nowNs;
+        context.wallMs = wallMs;
+        apply(event);
+        dispatcher.run();
+        context.idempotency.flush(nowNs, wallMs);
+        quiescing.report();
+        return context.decisions.takeAll();
     }
 
-    /** Whether a dispatched request may be written to the backend server at this moment. */
+    /**
+     * Whether a dispatched request may be written to the backend server at this moment. After a negative answer the
+     * request must not be written any more.
+     */
     public boolean mayDispatch(RequestId id, long nowNs) {
-        Running request = running.get(id);
-        return request != null
-                && hasLease(nowNs)
-                && nowNs < request.request.deadlineNs()
-                && Objects.equals(request.fence, fenceOf(request.request));
+        Ticket ticket = context.tickets.get(id);
+        if (ticket == null || !ticket.running() || ticket.cancelled || ticket.denied != null) {
+            return false;
+        }
+        ticket.denied = dispatcher.denial(ticket, nowNs);
+        return ticket.denied == null;
+    }
+
+    /** Suspicion that travels with the response to a request of this fingerprint. */
+    public Optional<Suspicion> suspicion(long fingerprint, long nowNs) {
+        return context.quarantine.suspicion(fingerprint, nowNs);
+    }
+
+    /** Requests that are refused because they crash backend servers, for other companions. */
+    public List<Suspicion> quarantined(long nowNs) {
+        return context.quarantine.refused(nowNs);
     }
 
     public GateStats stats() {
+        List<GateStats.RankStats> ranks = new ArrayList<>();
+        for (RankLoad load : context.admission.load(context.nowNs)) {
+            ranks.add(new GateStats.RankStats(
+                    load.rank(), load.queued(), load.inFlight(), load.dispatched(), load.admittedShare()));
+        }
         return new GateStats(
-                queue.size(),
-                running.size(),
-                backendServer.concurrency(),
-                slots.size(),
-                dispatched,
-                answered,
-                refused,
-                List.of());
+                context.admission.queued(),
+                context.admission.inFlight(),
+                context.admission.limit().limit(),
+                context.slots.size(),
+                dispatcher.dispatched(),
+                completion.answered(),
+                context.decisions.refused(),
+                ranks);
     }
 
-    private void arrive(GateRequest request, long nowNs, List<GateDecision> decisions) {
-        if (draining) {
-            refuse(request.id(), RefusalKind.DRAINING, "the backend server is draining", decisions);
-        } else if (!hasLease(nowNs)) {
-            refuse(request.id(), RefusalKind.NO_LEASE, own + " has no session lease", decisions);
-        } else if (request.slot() != null && fenceOf(request) == null) {
-            refuse(request.id(), RefusalKind.NOT_OWNER, request.slot() + " is not open here", decisions);
-        } else if (nowNs >= request.deadlineNs()) {
-            refuse(request.id(), RefusalKind.DEADLINE_TOO_SHORT, "the deadline has passed", decisions);
-        } else if (queue.size() >= QUEUE_LIMIT) {
-            refuse(request.id(), RefusalKind.QUEUE_FULL, "the queue is full", decisions);
+    private void apply(GateEvent event) {
+        if (event instanceof GateEvent.Arrived) {
+            arrival.handle(((GateEvent.Arrived) event).request());
+        } else if (event instanceof GateEvent.Finished) {
+            completion.finished((GateEvent.Finished) event);
+        } else if (event instanceof GateEvent.ResponseBegan) {
+            completion.responseBegan((GateEvent.ResponseBegan) event);
+        } else if (event instanceof GateEvent.CallerGone) {
+            completion.callerGone((GateEvent.CallerGone) event);
+        } else if (event instanceof GateEvent.LeaseExtended) {
+            context.leaseExpiryNs = ((GateEvent.LeaseExtended) event).expiryNs();
+        } else if (event instanceof GateEvent.SuspicionsReceived) {
+            context.quarantine.received(((GateEvent.SuspicionsReceived) event).suspicions(), context.nowNs);
+        } else if (event instanceof GateEvent.LoadReported) {
+            loadReported((GateEvent.LoadReported) event);
+        } else if (event instanceof GateEvent.ConfigApplied) {
+            configure((GateEvent.ConfigApplied) event);
         } else {
-            queue.add(request);
+            applyToSlotsAndRecords(event);
         }
     }
 
-    private void finish(GateEvent.Finished event, List<GateDecision> decisions) {
-        if (running.remove(event.id()) == null) {
-            return;
-        }
-        if (event.outcome() instanceof DispatchOutcome.Answered) {
-            answered++;
-        } else if (event.outcome() instanceof DispatchOutcome.NotRun) {
-            refuse(
-                    event.id(),
-                    RefusalKind.BACKEND_REFUSED,
-                    ((DispatchOutcome.NotRun) event.outcome()).reason(),
-                    decisions);
-        } else if (event.outcome() instanceof DispatchOutcome.TimedOut) {
-            refuse(event.id(), RefusalKind.DEADLINE_PASSED, "no answer within the deadline", decisions);
-        } else {
-            refuse(
-                    event.id(),
-                    RefusalKind.BACKEND_FAILED,
-                    ((DispatchOutcome.Broken) event.outcome()).reason(),
-                    decisions);
+    private void applyToSlotsAndRecords(GateEvent event) {
+        if (event instanceof GateEvent.SlotsOpened) {
+            openSlots((GateEvent.SlotsOpened) event);
+        } else if (event instanceof GateEvent.SlotsClosing) {
+            quiescing.closeSlots((GateEvent.SlotsClosing) event);
+        } else if (event instanceof GateEvent.CustomerQuiescing) {
+            quiescing.quiesceCustomer((GateEvent.CustomerQuiescing) event);
+        } else if (event instanceof GateEvent.DrainStarted) {
+            quiescing.startDrain();
+        } else if (event instanceof GateEvent.RecordsStored) {
+            context.idempotency.stored(((GateEvent.RecordsStored) event).sequence());
+        } else if (event instanceof GateEvent.RecordsNotStored) {
+            context.idempotency.notStored(((GateEvent.RecordsNotStored) event).sequence(), context.nowNs);
+        } else if (event instanceof GateEvent.RecordsReceived) {
+            context.idempotency.received(((GateEvent.RecordsReceived) event).records());
+        } else if (event instanceof GateEvent.RequestsStreamRead) {
+            context.idempotency.streamRead();
+        } else if (event instanceof GateEvent.RecordsInLogConfirmed) {
+            context.idempotency.recordsInLogConfirmed();
         }
     }
 
-    private void dispatchWaiting(long nowNs, List<GateDecision> decisions) {
-        while (!queue.isEmpty() && running.size() < backendServer.concurrency()) {
-            GateRequest request = queue.poll();
-            Fence fence = fenceOf(request);
-            if (!hasLease(nowNs)) {
-                refuse(request.id(), RefusalKind.NO_LEASE, own + " has no session lease", decisions);
-            } else if (request.slot() != null && fence == null) {
-                refuse(request.id(), RefusalKind.NOT_OWNER, request.slot() + " was closed", decisions);
-            } else if (nowNs >= request.deadlineNs()) {
-                refuse(request.id(), RefusalKind.DEADLINE_TOO_SHORT, "the deadline passed in the queue", decisions);
-            } else {
-                running.put(request.id(), new Running(request, fence));
-                dispatched++;
-                decisions.add(new GateDecision.Dispatch(request.id(), fence, request.deadlineNs()));
-            }
+    private void openSlots(GateEvent.SlotsOpened event) {
+        for (OpenSlot opened : event.slots()) {
+            SlotId slot = new SlotId(event.service(), opened.slot());
+            context.slots.open(slot, opened.fence());
+            quiescing.reopened(slot);
+            // Nobody can have served version 1 before its first candidate.
+            boolean first = opened.fence().version() == 1 && opened.fence().candidateIndex() == 0;
+            context.idempotency.open(
+                    slot,
+                    opened.fence().version(),
+                    first,
+                    event.standby(),
+                    event.recordsComplete(),
+                    event.readRequestsStream(),
+                    context.wallMs);
         }
     }
 
-    private Fence fenceOf(GateRequest request) {
-        return request.slot() == null ? null : slots.fence(request.slot());
+    private void configure(GateEvent.ConfigApplied event) {
+        String service = context.backendServer.service();
+        context.admission.configure(AdmissionSettings.of(event.config(), service));
+        quiescing.configured(event);
+        Optional<ServiceConfig> config = event.config().service(service);
+        if (config.isPresent() && config.get().longestRequestMs() > 0) {
+            context.longestRequestNs = config.get().longestRequestMs() * 1_000_000;
+            context.health.setLongestRequest(context.longestRequestNs);
+        }
+        if (config.isPresent() && config.get().idempotencyWindowMs() > 0) {
+            KeyWindow window = new KeyWindow(config.get().idempotencyWindowMs(), KeyWindow.CLOCK_SKEW_MS);
+            context.idempotency.configure(window, context.wallMs);
+        }
     }
 
-    private boolean hasLease(long nowNs) {
-        return leaseExpiryNs != Long.MIN_VALUE && nowNs < leaseExpiryNs;
+    private void loadReported(GateEvent.LoadReported event) {
+        context.health.loadReported(context.nowNs);
+        context.admission
+                .limit()
+                .loadReported(event.running(), event.concurrency(), context.admission.inFlight(), context.nowNs);
     }
 
-    private void refuse(RequestId id, RefusalKind kind, String detail, List<GateDecision> decisions) {
-        refused.merge(kind, 1L, Long::sum);
-        decisions.add(new GateDecision.Refuse(id, new Refusal(kind, detail, RETRY_AFTER_MS)));
-    }
+    /** Passes on what the idempotency records require. */
+    private final class Sink implements RecordSink {
+
+        @Override
+        public void storeAtStandby(Incarnation standby, long sequence, boolean reset, List<RequestRecord> records) {
+            context.decisions.add(new GateDecision.StoreAtStandby(standby, sequence, reset, records));
+        }
+
+        @Override
+        public void storeInLog(long sequence, List<RequestRecord> records) {
+            context.decisions.add(new GateDecision.StoreInLog(sequence, records));
+        }
+
+        @Override
+        public void requestRecordsInLog() {
+            context.decisions.add(new GateDecision.RequestRecordsInLog());
+        }
 
-    /** Dispatched request with the fence it was dispatched under. */
-    private record Running(GateRequest request, Fence fence) {}
+        @Override
+        public void readRequestsStream() {
+            context.decisions.add(new GateDecision.ReadRequestsStream());
+        }
+
+        @Override
+        public void recordStored(RequestRecord started) {
+            Ticket ticket = context.repeats.of(started);
+            if (ticket != null && ticket.phase == Ticket.Phase.STORING) {
+                context.enqueue(ticket);
+            }
+        }
+
+        @Override
+        public void recordNotStored(RequestRecord started) {
+            Ticket ticket = context.repeats.of(started);
+            if (ticket != null && ticket.phase == Ticket.Phase.STORING) {
+                context.refuse(ticket, RefusalKind.RECORD_NOT_STORED, "neither a standby nor the log has the record");
+            }
+        }
+    }
 }
--- a/core/src/main/java/org/siskintiller/core/gate/Slots.java
+++ b/core/src/main/java/org/siskintiller/core/gate/Slots.java
@@ -3,30 +3,29 @@
 import java.util.HashMap;
 import java.util.Map;
 
-import org.siskintiller.core.control.ControlAction.OpenSlot;
 import org.siskintiller.core.model.Fence;
 import org.siskintiller.core.model.SlotId;
-import org.siskintiller.core.model.SlotVersion;
 
 /** Slots that this companion may serve, with their fencing tokens. */
 final class Slots {
     private final Map<SlotId, Fence> open = new HashMap<>();
 
-    void open(GateEvent.SlotsOpened event) {
-        for (OpenSlot slot : event.slots()) {
-            open.put(new SlotId(event.service(), slot.slot()), slot.fence());
-        }
+    void open(SlotId slot, Fence fence) {
+        open.put(slot, fence);
     }
 
-    void close(GateEvent.SlotsClosing event) {
-        for (SlotVersion slot : event.slots()) {
-            open.remove(new SlotId(event.service(), slot.slot()));
-        }
+    void close(SlotId slot) {
+        open.remove(slot);
     }
 
     /** Returns the fence of an open slot, or null. */
     Fence fence(SlotId slot) {
-        return open.get(slot);
+        return slot == null ? null : open.get(slot);
+    }
+
+    /** Whether a request may run: its slot is open, or it needs none. */
+    boolean serves(SlotId slot) {
+        return slot == null || open.containsKey(slot);
     }
 
     int size() {
