--- /dev/null
+++ b/node/src/main/java/org/siskintiller/node/peer/PeerConnection.java
@@ -0,0 +1,262 @@
+package org.siskintiller.node.peer;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleStateEvent;
+
+import org.siskintiller.core.gate.RefusalKind.Outcome;
+import org.siskintiller.core.model.PeerMessage;
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
+import org.siskintiller.wire.Decoded;
+import org.siskintiller.wire.ModelCodec;
+import org.siskintiller.wire.PeerCodec;
+import org.siskintiller.wire.proto.Proto;
+
+/** One TCP connection with its streams. The side that connected opens the streams. */
+final class PeerConnection extends SimpleChannelInboundHandler<Proto.PeerFrame> {
+    private final PeerHandler handler;
+    private final boolean accepted;
+    private final Map<Long, PeerStream> streams = new ConcurrentHashMap<>();
+    private final AtomicLong lastStreamId = new AtomicLong();
+    private final Object writability = new Object();
+    private volatile Channel channel;
+    private volatile long incarnation;
+    private volatile long highestReceivedId;
+
+    PeerConnection(PeerHandler handler, boolean accepted) {
+        this.handler = handler;
+        this.accepted = accepted;
+    }
+
+    /** Opens a stream with a request. If the head cannot be written, the stream fails as not run. */
+    PeerStream open(Proto.RequestHead.Builder head) {
+        long id = lastStreamId.incrementAndGet();
+        PeerStream stream = new PeerStream(this, id, ModelCodec.fromProto(head.getRequestId()));
+        if (streams.size() >= PeerLimits.MAX_STREAMS) {
+            stream.fail(new StreamFailedException(Outcome.NOT_RUN, "too many streams to the companion"));
+            return stream;
+        }
+        streams.put(id, stream);
+        Proto.PeerFrame frame =
+                Proto.PeerFrame.newBuilder().setRequestHead(head.setStreamId(id)).build();
+        channel.writeAndFlush(frame).addListener(written -> {
+            if (!written.isSuccess()) {
+                stream.fail(new StreamFailedException(Outcome.NOT_RUN, "the request could not be sent"));
+            }
+        });
+        return stream;
+    }
+
+    void send(Proto.PeerFrame frame) {
+        channel.writeAndFlush(frame, channel.voidPromise());
+    }
+
+    void remove(long id) {
+        streams.remove(id);
+    }
+
+    boolean isOpen() {
+        return channel != null && channel.isActive();
+    }
+
+    /** Incarnation of the other side, 0 before its hello. */
+    long incarnation() {
+        return incarnation;
+    }
+
+    int streamCount() {
+        return streams.size();
+    }
+
+    void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    /** Waits until the send buffer of the connection is below its high-water mark. */
+    void awaitWritable() throws IOException {
+        if (channel.isWritable()) {
+            return;
+        }
+        synchronized (writability) {
+            while (!channel.isWritable()) {
+                if (!channel.isActive()) {
+                    throw new StreamFailedException(Outcome.UNKNOWN, "the connection broke");
+                }
+                try {
+                    writability.wait(100);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                    throw new IOException("interrupted while waiting for the connection", e);
+                }
+            }
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        channel = context.channel();
+        sendHello();
+    }
+
+    private void sendHello() {
+        send(Proto.PeerFrame.newBuilder()
+                .setHello(Proto.Hello.newBuilder()
+                        .setIncarnation(handler.incarnation().id()))
+                .build());
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        synchronized (writability) {
+            writability.notifyAll();
+        }
+        context.fireChannelWritabilityChanged();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Proto.PeerFrame frame) {
+        if (incarnation == 0 && !frame.hasHello()) {
+            malformed("a frame came before the hello");
+            return;
+        }
+        switch (frame.getFrameCase()) {
+            case HELLO:
+                incarnation = frame.getHello().getIncarnation();
+                break;
+            case CONTROL:
+                receiveControl(frame.getControl());
+                break;
+            case REQUEST_HEAD:
+                receiveRequest(frame.getRequestHead());
+                break;
+            case RESPONSE_HEAD:
+                receiveResponse(frame.getResponseHead());
+                break;
+            case BODY_CHUNK:
+                receiveChunk(frame.getBodyChunk());
+                break;
+            case STREAM_RESET:
+                receiveReset(frame.getStreamReset());
+                break;
+            case WINDOW_UPDATE:
+                receiveCredit(frame.getWindowUpdate());
+                break;
+            default:
+                malformed("a frame has no content");
+                break;
+        }
+    }
+
+    private void receiveControl(Proto.PeerMessage message) {
+        Decoded<PeerMessage> decoded = PeerCodec.fromProto(message);
+        if (decoded instanceof Decoded.Ok<PeerMessage> ok) {
+            handler.onMessage(ok.value());
+        } else if (decoded instanceof Decoded.Malformed<PeerMessage> bad) {
+            malformed(bad.reason());
+        }
+    }
+
+    private void receiveRequest(Proto.RequestHead head) {
+        if (!accepted || head.getStreamId() <= highestReceivedId) {
+            malformed("a stream id was used twice or by the wrong side");
+            return;
+        }
+        highestReceivedId = head.getStreamId();
+        PeerStream stream = new PeerStream(this, head.getStreamId(), ModelCodec.fromProto(head.getRequestId()));
+        if (streams.size() >= PeerLimits.MAX_STREAMS) {
+            stream.reset(Outcome.NOT_RUN, "too many streams on the connection");
+            return;
+        }
+        streams.put(head.getStreamId(), stream);
+        handler.onRequest(stream, head);
+    }
+
+    private void receiveResponse(Proto.ResponseHead head) {
+        PeerStream stream = streams.get(head.getStreamId());
+        if (stream == null || accepted) {
+            return;
+        }
+        if (!stream.receiveHead(head)) {
+            EventLog.log(LogEvent.PEER_MISMATCH, "request " + stream.requestId());
+            stream.reset(Outcome.UNKNOWN, "the response belongs to another request");
+        }
+    }
+
+    private void receiveChunk(Proto.BodyChunk chunk) {
+        // Chunks of a stream that was reset here may still be under way.
+        PeerStream stream = streams.get(chunk.getStreamId());
+        if (stream != null && !stream.receiveChunk(chunk)) {
+            malformed("a body exceeds its window or its end");
+        }
+    }
+
+    private void receiveReset(Proto.StreamReset reset) {
+        PeerStream stream = streams.get(reset.getStreamId());
+        if (stream != null) {
+            EventLog.log(LogEvent.PEER_STREAM_RESET, reset.getReason());
+            stream.fail(new StreamFailedException(Outcomes.fromProto(reset.getOutcome()), reset.getReason()));
+        }
+    }
+
+    private void receiveCredit(Proto.WindowUpdate update) {
+        PeerStream stream = streams.get(update.getStreamId());
+        if (stream != null && !stream.receiveCredit(update.getCredit())) {
+            malformed("a window grew beyond its limit");
+        }
+    }
+
+    private void malformed(String reason) {
+        EventLog.log(LogEvent.PEER_MALFORMED, reason + " from " + channel.remoteAddress());
+        channel.close();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (!(event instanceof IdleStateEvent)) {
+            return;
+        }
+        switch (((IdleStateEvent) event).state()) {
+            case WRITER_IDLE:
+                if (!streams.isEmpty()) {
+                    sendHello();
+                }
+                break;
+            case READER_IDLE:
+                if (!streams.isEmpty() || incarnation == 0) {
+                    channel.close();
+                }
+                break;
+            default:
+                channel.close();
+                break;
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        for (PeerStream stream : List.copyOf(streams.values())) {
+            stream.fail(new StreamFailedException(Outcome.UNKNOWN, "the connection to the companion broke"));
+        }
+        synchronized (writability) {
+            writability.notifyAll();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            EventLog.log(LogEvent.PEER_MALFORMED, cause + " from " + context.channel().remoteAddress());
+        }
+        context.close();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/siskintiller/node/peer/PeerLimits.java
@@ -0,0 +1,26 @@
+package org.siskintiller.node.peer;
+
+/** Limits of the transport between companions. */
+final class PeerLimits {
+    /** A relayed snapshot of 5,200 sessions with their slots must fit into one frame. */
+    static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
+
+    static final int MAX_DATAGRAM_BYTES = 1200;
+    static final int MAX_STREAMS = 2048;
+    static final int MAX_CONNECTIONS = 8192;
+
+    /** Bytes of one direction of a stream that may be under way; bounds the memory of a slow receiver. */
+    static final int WINDOW_BYTES = 256 * 1024;
+
+    static final int CHUNK_BYTES = 16 * 1024;
+    static final int CONNECT_TIMEOUT_MS = 300;
+    static final int WRITE_TIMEOUT_S = 5;
+
+    /** A connection with open streams that brings nothing for this long is dead: the other side pings every second. */
+    static final int READ_TIMEOUT_S = 3;
+
+    static final int PING_INTERVAL_S = 1;
+    static final int IDLE_TIMEOUT_S = 120;
+
+    private PeerLimits() {}
+}
