--- a/node/src/main/java/org/siskintiller/node/http/CallerServer.java
+++ b/node/src/main/java/org/siskintiller/node/http/CallerServer.java
@@ -14,6 +14,7 @@
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
+import org.siskintiller.config.CompanionSettings.Limits;
 import org.siskintiller.core.model.Address;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
@@ -33,16 +34,12 @@
     private final HttpServer server;
     private final ThreadPoolExecutor threads;
     private final RequestParser parser;
-    private final HttpLimits limits;
+    private final Limits limits;
     private final RequestHandler handler;
     private final OperatorPaths operatorPaths;
 
     public CallerServer(
-            Address address,
-            HttpLimits limits,
-            RequestParser parser,
-            RequestHandler handler,
-            OperatorPaths operatorPaths)
+            Address address, Limits limits, RequestParser parser, RequestHandler handler, OperatorPaths operatorPaths)
             throws IOException {
         configureServer(limits);
         this.limits = limits;
@@ -69,7 +66,7 @@
     }
 
     /** Sets the limits that the JDK server reads once from system properties. Given properties win. */
-    private static void configureServer(HttpLimits limits) {
+    private static void configureServer(Limits limits) {
         long seconds = Math.max(1, limits.requestTimeoutMs() / 1000) + 5;
         Map<String, String> properties = Map.of(
                 "sun.net.httpserver.maxReqTime", Long.toString(seconds),
--- a/node/src/main/java/org/siskintiller/node/http/RequestParser.java
+++ b/node/src/main/java/org/siskintiller/node/http/RequestParser.java
@@ -10,6 +10,7 @@
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
 
+import org.siskintiller.config.CompanionSettings.Limits;
 import org.siskintiller.core.model.RequestId;
 import org.siskintiller.node.request.Header;
 import org.siskintiller.node.request.Problem;
@@ -27,10 +28,10 @@
     private static final List<String> SINGLE =
             List.of("host", "siskin-key", "siskin-customer", "siskin-rank", "siskin-deadline-ms", "idempotency-key");
 
-    private final HttpLimits limits;
+    private final Limits limits;
     private final Supplier<RequestId> ids;
 
-    public RequestParser(HttpLimits limits, Supplier<RequestId> ids) {
+    public RequestParser(Limits limits, Supplier<RequestId> ids) {
         this.limits = limits;
         this.ids = ids;
     }
--- a/node/src/main/java/org/siskintiller/node/peer/DatagramEndpoint.java
+++ b/node/src/main/java/org/siskintiller/node/peer/DatagramEndpoint.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
-
 import org.siskintiller.core.model.PeerMessage;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
--- a/node/src/main/java/org/siskintiller/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/siskintiller/node/peer/PeerConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -10,7 +11,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.IdleStateEvent;
-
 import org.siskintiller.core.gate.RefusalKind.Outcome;
 import org.siskintiller.core.model.PeerMessage;
 import org.siskintiller.node.EventLog;
@@ -27,6 +27,7 @@
     private final Map<Long, PeerStream> streams = new ConcurrentHashMap<>();
     private final AtomicLong lastStreamId = new AtomicLong();
     private final Object writability = new Object();
+    private final CompletableFuture<PeerConnection> ready = new CompletableFuture<>();
     private volatile Channel channel;
     private volatile long incarnation;
     private volatile long highestReceivedId;
@@ -45,8 +46,9 @@
             return stream;
         }
         streams.put(id, stream);
-        Proto.PeerFrame frame =
-                Proto.PeerFrame.newBuilder().setRequestHead(head.setStreamId(id)).build();
+        Proto.PeerFrame frame = Proto.PeerFrame.newBuilder()
+                .setRequestHead(head.setStreamId(id))
+                .build();
         channel.writeAndFlush(frame).addListener(written -> {
             if (!written.isSuccess()) {
                 stream.fail(new StreamFailedException(Outcome.NOT_RUN, "the request could not be sent"));
@@ -106,6 +108,12 @@
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
         sendHello();
+        ready.complete(this);
+    }
+
+    /** Completes when the hello is sent, so that it precedes every other frame. */
+    CompletableFuture<PeerConnection> ready() {
+        return ready;
     }
 
     private void sendHello() {
@@ -255,7 +263,9 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (!(cause instanceof IOException)) {
-            EventLog.log(LogEvent.PEER_MALFORMED, cause + " from " + context.channel().remoteAddress());
+            EventLog.log(
+                    LogEvent.PEER_MALFORMED,
+                    cause + " from " + context.channel().remoteAddress());
         }
         context.close();
     }
--- a/node/src/main/java/org/siskintiller/node/peer/PeerLimits.java
+++ b/node/src/main/java/org/siskintiller/node/peer/PeerLimits.java
@@ -16,11 +16,11 @@
     static final int CONNECT_TIMEOUT_MS = 300;
     static final int WRITE_TIMEOUT_S = 5;
 
-    /** A connection with open streams that brings nothing for this long is dead: the other side pings every second. */
-    static final int READ_TIMEOUT_S = 3;
+    /** A connection with open streams that brings nothing for this long is dead: the other side pings meanwhile. */
+    static final int READ_TIMEOUT_MS = 1000;
 
-    static final int PING_INTERVAL_S = 1;
-    static final int IDLE_TIMEOUT_S = 120;
+    static final int PING_INTERVAL_MS = 250;
+    static final int IDLE_TIMEOUT_MS = 120_000;
 
     private PeerLimits() {}
 }
--- a/node/src/main/java/org/siskintiller/node/peer/PeerStream.java
+++ b/node/src/main/java/org/siskintiller/node/peer/PeerStream.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.CompletableFuture;
 
 import com.google.protobuf.ByteString;
-
 import org.siskintiller.core.gate.RefusalKind.Outcome;
 import org.siskintiller.core.model.RequestId;
 import org.siskintiller.wire.ModelCodec;
--- a/node/src/main/java/org/siskintiller/node/peer/PeerTransport.java
+++ b/node/src/main/java/org/siskintiller/node/peer/PeerTransport.java
@@ -28,7 +28,6 @@
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.handler.timeout.WriteTimeoutHandler;
-
 import org.siskintiller.core.gate.RefusalKind.Outcome;
 import org.siskintiller.core.model.Address;
 import org.siskintiller.core.model.PeerMessage;
@@ -43,8 +42,7 @@
     private static final int LENGTH_BYTES = 4;
 
     private final PeerHandler handler;
-    private final EventLoopGroup threads =
-            new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+    private final EventLoopGroup threads = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
     private final Map<Address, CompletableFuture<PeerConnection>> connections = new ConcurrentHashMap<>();
     private final AtomicInteger acceptedConnections = new AtomicInteger();
     private final DatagramEndpoint datagrams;
@@ -123,9 +121,8 @@
             return known;
         }
         CompletableFuture<PeerConnection> fresh = new CompletableFuture<>();
-        boolean won = known == null
-                ? connections.putIfAbsent(to, fresh) == null
-                : connections.replace(to, known, fresh);
+        boolean won =
+                known == null ? connections.putIfAbsent(to, fresh) == null : connections.replace(to, known, fresh);
         if (!won) {
             CompletableFuture<PeerConnection> other = connections.get(to);
             return other == null ? connection(to) : other;
@@ -150,9 +147,16 @@
                     if (connected.isSuccess()) {
                         EventLog.log(LogEvent.PEER_CONNECTED, to.toString());
                         connected.channel().closeFuture().addListener(closed -> connections.remove(to, result));
-                        result.complete(connected.channel().pipeline().get(PeerConnection.class));
+                        connected
+                                .channel()
+                                .pipeline()
+                                .get(PeerConnection.class)
+                                .ready()
+                                .thenAccept(result::complete);
                     } else {
-                        EventLog.log(LogEvent.PEER_CONNECT_FAILED, to + ": " + connected.cause().getMessage());
+                        EventLog.log(
+                                LogEvent.PEER_CONNECT_FAILED,
+                                to + ": " + connected.cause().getMessage());
                         connections.remove(to, result);
                         result.completeExceptionally(connected.cause());
                     }
@@ -173,10 +177,13 @@
                 }
                 ChannelPipeline pipeline = channel.pipeline();
                 pipeline.addLast(new IdleStateHandler(
-                        PeerLimits.READ_TIMEOUT_S, PeerLimits.PING_INTERVAL_S, PeerLimits.IDLE_TIMEOUT_S));
+                        PeerLimits.READ_TIMEOUT_MS,
+                        PeerLimits.PING_INTERVAL_MS,
+                        PeerLimits.IDLE_TIMEOUT_MS,
+                        TimeUnit.MILLISECONDS));
                 pipeline.addLast(new WriteTimeoutHandler(PeerLimits.WRITE_TIMEOUT_S));
-                pipeline.addLast(new LengthFieldBasedFrameDecoder(
-                        PeerLimits.MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+                pipeline.addLast(
+                        new LengthFieldBasedFrameDecoder(PeerLimits.MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
                 pipeline.addLast(new ProtobufDecoder(Proto.PeerFrame.getDefaultInstance()));
                 pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
                 pipeline.addLast(new ProtobufEncoder());
--- /dev/null
+++ b/node/src/main/java/org/siskintiller/node/runtime/GateEffects.java
@@ -0,0 +1,9 @@
+package org.siskintiller.node.runtime;
+
+import org.siskintiller.core.gate.GateDecision;
+
+/** Carries out decisions of the gate that concern no single request. Must not block. */
+interface GateEffects {
+
+    void carryOut(GateDecision decision);
+}
--- a/node/src/test/java/org/siskintiller/node/http/RequestParserTest.java
+++ b/node/src/test/java/org/siskintiller/node/http/RequestParserTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.siskintiller.config.CompanionSettings.Limits;
 import org.siskintiller.core.model.RequestId;
 import org.siskintiller.node.request.Header;
 import org.siskintiller.node.request.RequestHead;
@@ -15,7 +16,7 @@
 
 class RequestParserTest {
     private final RequestParser parser =
-            new RequestParser(new HttpLimits(4096, 1_000_000, 10_000, 10), () -> new RequestId(1, 2));
+            new RequestParser(new Limits(4096, 1_000_000, 10_000, 10, 1_000), () -> new RequestId(1, 2));
 
     private Parsed parse(String target, String... namesAndValues) {
         List<Header> headers = new ArrayList<>();
