--- /dev/null
+++ b/logclient/src/main/java/org/siskintiller/logclient/ReadResult.java
@@ -0,0 +1,30 @@
+package org.siskintiller.logclient;
+
+import java.util.List;
+import java.util.Objects;
+
+/** Result of a read. */
+public sealed interface ReadResult {
+
+    /**
+     * Records in the order of their offsets, possibly none.
+     *
+     * @param nextOffset offset to read from next
+     * @param atTail nothing followed these records when they were read
+     */
+    record Read(List<StoredRecord> records, long nextOffset, boolean atTail) implements ReadResult {
+        public Read {
+            records = List.copyOf(records);
+        }
+    }
+
+    /** Records at the requested offset are no longer kept. */
+    record Expired(long firstRetained) implements ReadResult {}
+
+    /** The log service did not answer, or its answer is no valid one. */
+    record Unavailable(String reason) implements ReadResult {
+        public Unavailable {
+            Objects.requireNonNull(reason, "reason");
+        }
+    }
+}
