--- /dev/null
+++ b/logclient/src/test/java/org/siskintiller/logclient/HttpLogClientTest.java
@@ -0,0 +1,175 @@
+package org.siskintiller.logclient;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.List;
+
+import com.google.protobuf.ByteString;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.siskintiller.core.model.Address;
+import org.siskintiller.core.model.Bytes;
+import org.siskintiller.core.model.OperationId;
+import org.siskintiller.wire.proto.Proto;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Guards against an append that may have taken effect but is reported as refused, and against torn reads. */
+class HttpLogClientTest {
+    private static final int MAX_BODY_BYTES = 1_000;
+    private static final OperationId ID = new OperationId(1, 2);
+    private static final List<PendingRecord> BATCH = List.of(record(10));
+
+    private static PendingRecord record(int bytes) {
+        return new PendingRecord(ID, Bytes.copyOf(new byte[bytes]));
+    }
+
+    private static LogClient client(Address address) {
+        return new HttpLogClient(new LogClientSettings(
+                address, Duration.ofSeconds(5), Duration.ofMillis(300), MAX_BODY_BYTES, MAX_BODY_BYTES));
+    }
+
+    private static AppendResult append(ScriptedServer scripted) throws IOException {
+        try (ScriptedServer server = scripted) {
+            return client(server.address()).append("control", BATCH);
+        }
+    }
+
+    private static ReadResult read(byte[] answer, long from) throws IOException {
+        try (ScriptedServer server = ScriptedServer.answering(answer)) {
+            return client(server.address()).read("control", from, 10, 0);
+        }
+    }
+
+    private static Proto.ReadResponse.Item item(long offset) {
+        return Proto.ReadResponse.Item.newBuilder()
+                .setOffset(offset)
+                .setOperationId(Proto.OperationId.newBuilder().setHigh(1).setLow(2))
+                .setTimeMs(77)
+                .setPayload(ByteString.copyFromUtf8("p"))
+                .build();
+    }
+
+    private static byte[] readBody(long nextOffset, Proto.ReadResponse.Item... items) {
+        return Proto.ReadResponse.newBuilder()
+                .setFirstOffset(0)
+                .setNextOffset(nextOffset)
+                .setAtTail(true)
+                .addAllItems(List.of(items))
+                .build()
+                .toByteArray();
+    }
+
+    @Nested
+    class Append {
+
+        @Test
+        void offsetZeroIsStored() throws IOException {
+            byte[] body =
+                    Proto.AppendResponse.newBuilder().setFirstOffset(0).build().toByteArray();
+            assertThat(append(ScriptedServer.answering(ScriptedServer.response(200, body))))
+                    .isEqualTo(new AppendResult.Stored(0));
+        }
+
+        @Test
+        void noConnectionIsRefused() throws IOException {
+            int port;
+            try (ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                port = unused.getLocalPort();
+            }
+            assertThat(client(new Address("127.0.0.1", port)).append("control", BATCH))
+                    .isInstanceOf(AppendResult.Refused.class);
+        }
+
+        @Test
+        void rateLimitIsRefused() throws IOException {
+            assertThat(append(ScriptedServer.answering(ScriptedServer.response(429, new byte[0]))))
+                    .isInstanceOf(AppendResult.Refused.class);
+        }
+
+        @Test
+        void batchOverTheLimitIsRefusedUnsent() throws IOException {
+            try (ScriptedServer server = ScriptedServer.answering(new byte[0])) {
+                assertThat(client(server.address()).append("control", List.of(record(MAX_BODY_BYTES))))
+                        .isInstanceOf(AppendResult.Refused.class);
+            }
+        }
+
+        @Test
+        void closedConnectionIsUncertain() throws IOException {
+            assertThat(append(ScriptedServer.answering(new byte[0]))).isInstanceOf(AppendResult.Uncertain.class);
+        }
+
+        @Test
+        void silenceIsUncertain() throws IOException {
+            assertThat(append(ScriptedServer.silentAfter(new byte[0]))).isInstanceOf(AppendResult.Uncertain.class);
+        }
+
+        @Test
+        void silenceWithinTheBodyIsUncertain() throws IOException {
+            byte[] cut = ScriptedServer.response(200, new byte[1], 2);
+            assertThat(append(ScriptedServer.silentAfter(cut))).isInstanceOf(AppendResult.Uncertain.class);
+        }
+
+        @Test
+        void serverErrorIsUncertain() throws IOException {
+            assertThat(append(ScriptedServer.answering(ScriptedServer.response(503, new byte[0]))))
+                    .isInstanceOf(AppendResult.Uncertain.class);
+        }
+
+        @Test
+        void emptyAnswerIsUncertain() throws IOException {
+            assertThat(append(ScriptedServer.answering(ScriptedServer.response(200, new byte[0]))))
+                    .isInstanceOf(AppendResult.Uncertain.class);
+        }
+    }
+
+    @Nested
+    class Read {
+
+        @Test
+        void recordsAreReturnedInOrder() throws IOException {
+            byte[] body = readBody(9, item(7), item(8));
+            ReadResult.Read read = (ReadResult.Read) read(ScriptedServer.response(200, body), 7);
+            assertThat(read.nextOffset()).isEqualTo(9);
+            assertThat(read.atTail()).isTrue();
+            assertThat(read.records()).hasSize(2);
+            byte[] payload = {'p'};
+            assertThat(read.records().get(1)).isEqualTo(new StoredRecord(8, ID, 77, Bytes.copyOf(payload)));
+        }
+
+        @Test
+        void gapIsUnavailable() throws IOException {
+            assertThat(read(ScriptedServer.response(200, readBody(10, item(7), item(9))), 7))
+                    .isInstanceOf(ReadResult.Unavailable.class);
+        }
+
+        @Test
+        void cutAnswerIsUnavailable() throws IOException {
+            byte[] body = readBody(8, item(7));
+            assertThat(read(ScriptedServer.response(200, body, body.length + 1), 7))
+                    .isInstanceOf(ReadResult.Unavailable.class);
+        }
+
+        @Test
+        void garbageIsUnavailable() throws IOException {
+            byte[] garbage = {-1, -1, -1};
+            assertThat(read(ScriptedServer.response(200, garbage), 7)).isInstanceOf(ReadResult.Unavailable.class);
+        }
+
+        @Test
+        void answerOverTheLimitIsUnavailable() throws IOException {
+            assertThat(read(ScriptedServer.response(200, new byte[MAX_BODY_BYTES + 1]), 7))
+                    .isInstanceOf(ReadResult.Unavailable.class);
+        }
+
+        @Test
+        void expiredNamesTheFirstRetainedOffset() throws IOException {
+            byte[] body =
+                    Proto.ReadResponse.newBuilder().setFirstOffset(40).build().toByteArray();
+            assertThat(read(ScriptedServer.response(410, body), 7)).isEqualTo(new ReadResult.Expired(40));
+        }
+    }
+}
--- /dev/null
+++ b/logclient/src/test/java/org/siskintiller/logclient/ScriptedServer.java
@@ -0,0 +1,94 @@
+package org.siskintiller.logclient;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+
+import org.siskintiller.core.model.Address;
+
+/** Server that reads one request per connection, writes the scripted bytes and then closes or stays silent. */
+final class ScriptedServer implements AutoCloseable {
+    private final ServerSocket socket;
+    private final byte[] answer;
+    private final boolean silentAfterwards;
+    private final CountDownLatch closed = new CountDownLatch(1);
+
+    private ScriptedServer(byte[] answer, boolean silentAfterwards) throws IOException {
+        this.socket = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+        this.answer = answer;
+        this.silentAfterwards = silentAfterwards;
+        Thread thread = new Thread(this::serve, "scripted-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    static ScriptedServer answering(byte[] answer) throws IOException {
+        return new ScriptedServer(answer, false);
+    }
+
+    static ScriptedServer silentAfter(byte[] answer) throws IOException {
+        return new ScriptedServer(answer, true);
+    }
+
+    static byte[] response(int status, byte[] body) {
+        return response(status, body, body.length);
+    }
+
+    static byte[] response(int status, byte[] body, int declaredLength) {
+        String head = "HTTP/1.1 " + status + " X\r\nContent-Length: " + declaredLength + "\r\n\r\n";
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.writeBytes(head.getBytes(StandardCharsets.US_ASCII));
+        out.writeBytes(body);
+        return out.toByteArray();
+    }
+
+    Address address() {
+        return new Address("127.0.0.1", socket.getLocalPort());
+    }
+
+    private void serve() {
+        while (!socket.isClosed()) {
+            try (Socket connection = socket.accept()) {
+                readRequest(connection.getInputStream());
+                connection.getOutputStream().write(answer);
+                connection.getOutputStream().flush();
+                if (silentAfterwards) {
+                    closed.await();
+                }
+            } catch (IOException e) {
+                // The client or the test closed the connection.
+                continue;
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private static void readRequest(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
+            int next = in.read();
+            if (next < 0) {
+                return;
+            }
+            head.write(next);
+        }
+        for (String line : head.toString(StandardCharsets.US_ASCII).split("\r\n")) {
+            if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+                in.readNBytes(
+                        Integer.parseInt(line.substring(line.indexOf(':') + 1).trim()));
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        closed.countDown();
+        socket.close();
+    }
+}
