--- /dev/null
+++ b/standin/src/main/java/org/siskintiller/standin/ServerOptions.java
@@ -0,0 +1,37 @@
+package org.siskintiller.standin;
+
+import org.siskintiller.core.model.Address;
+import picocli.CommandLine.Option;
+
+/** Options of each stand-in that listens. */
+public final class ServerOptions {
+
+    @Option(
+            names = "--host",
+            defaultValue = "127.0.0.1",
+            description = "IP number to listen on (default ${DEFAULT-VALUE})")
+    private String host;
+
+    @Option(
+            names = "--port",
+            defaultValue = "0",
+            description = "port to listen on; 0 takes a free one (default ${DEFAULT-VALUE})")
+    private int port;
+
+    @Option(names = "--seed", defaultValue = "1", description = "seed of the random choices (default ${DEFAULT-VALUE})")
+    private long seed;
+
+    public Address address() {
+        return new Address(host, port);
+    }
+
+    public long seed() {
+        return seed;
+    }
+
+    /** Prints the bound address. Tests and scripts read it from the first line of standard output. */
+    public static void announce(Address bound) {
+        System.out.println("listening " + bound);
+        System.out.flush();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/siskintiller/standin/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for a backend server. */
+package org.siskintiller.standin.backend;
--- /dev/null
+++ b/standin/src/main/java/org/siskintiller/standin/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Load-generating caller. */
+package org.siskintiller.standin.caller;
--- /dev/null
+++ b/standin/src/main/java/org/siskintiller/standin/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP helpers that the stand-ins share. */
+package org.siskintiller.standin.http;
--- /dev/null
+++ b/standin/src/main/java/org/siskintiller/standin/log/LogFaults.java
@@ -0,0 +1,49 @@
+package org.siskintiller.standin.log;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.siskintiller.standin.http.HttpBodies;
+
+/**
+ * Faults in force.
+ *
+ * @param down every connection is closed without an answer
+ * @param delayMs delay before each request is handled
+ * @param loseAnswers share of appends whose answer is lost
+ * @param lateAppendMs an append with a lost answer takes effect after this time; 0 is at once
+ */
+record LogFaults(boolean down, long delayMs, double loseAnswers, long lateAppendMs) {
+    static final LogFaults NONE = new LogFaults(false, 0, 0, 0);
+
+    LogFaults {
+        if (delayMs < 0 || lateAppendMs < 0 || !(loseAnswers >= 0 && loseAnswers <= 1)) {
+            throw new IllegalArgumentException("delayMs and lateAppendMs must be at least 0, loseAnswers from 0 to 1");
+        }
+    }
+
+    /** Applies a change. The mode "up" clears all faults first; fields that are absent stay as they are. */
+    LogFaults with(JsonNode change) {
+        String mode = change.path("mode").asText("");
+        LogFaults base =
+                switch (mode) {
+                    case "" -> this;
+                    case "up" -> NONE;
+                    case "down" -> new LogFaults(true, delayMs, loseAnswers, lateAppendMs);
+                    case "slow" -> new LogFaults(false, delayMs, loseAnswers, lateAppendMs);
+                    default -> throw new IllegalArgumentException("mode " + mode + " is none of down, up, slow");
+                };
+        return new LogFaults(
+                base.down,
+                change.path("delayMs").asLong(base.delayMs),
+                change.path("loseAnswers").asDouble(base.loseAnswers),
+                change.path("lateAppendMs").asLong(base.lateAppendMs));
+    }
+
+    ObjectNode toJson() {
+        return HttpBodies.object()
+                .put("down", down)
+                .put("delayMs", delayMs)
+                .put("loseAnswers", loseAnswers)
+                .put("lateAppendMs", lateAppendMs);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/siskintiller/standin/log/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for the log service. */
+package org.siskintiller.standin.log;
--- /dev/null
+++ b/standin/src/main/java/org/siskintiller/standin/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** Fault-injecting forwarder. */
+package org.siskintiller.standin.proxy;
