Compare configurations and check a change against the one in force

A changed slot count would map keys to other slots, and an old file could bring a removed customer back. Both are reported before a publication.

--- /dev/null
+++ b/config/src/test/java/org/siskintiller/config/ClusterConfigDiffTest.java
@@ -0,0 +1,42 @@
+package org.siskintiller.config;
+
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.siskintiller.core.model.ClusterConfig;
+import org.siskintiller.core.model.CustomerConfig;
+import org.siskintiller.core.model.ServiceConfig;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Guards against a change that an operator is not shown, and against a publication that breaks sole ownership. */
+class ClusterConfigDiffTest {
+    private static final ClusterConfig OLD = config(256, new CustomerConfig("growers", 2));
+
+    @Test
+    void showsChangedAddedAndRemovedValues() {
+        ClusterConfig next = config(512, new CustomerConfig("advisers", 1));
+
+        assertThat(ClusterConfigDiff.between(OLD, next))
+                .containsExactly(
+                        new ClusterConfigDiff.Change("service lookup", "slots", "256", "512"),
+                        new ClusterConfigDiff.Change("customer advisers", "weight", "", "1"),
+                        new ClusterConfigDiff.Change("customer growers", "weight", "2", ""))
+                .inOrder();
+    }
+
+    @Test
+    void refusesAnotherSlotCountAndAnUnwantedReturn() {
+        ClusterConfig next = config(512, new CustomerConfig("growers", 2));
+        List<ConfigProblem> problems = ClusterConfigChangeRules.check("f", OLD, next, Set.of("growers"));
+
+        assertThat(problems.stream().map(ConfigProblem::section)).containsExactly("service lookup", "customer growers");
+        assertThat(ClusterConfigChangeRules.check("f", OLD, OLD, Set.of())).isEmpty();
+    }
+
+    private static ClusterConfig config(int slots, CustomerConfig customer) {
+        ServiceConfig service = new ServiceConfig("lookup", true, true, true, slots, 2, 500, "urgent", 600_000);
+        return new ClusterConfig(List.of(service), List.of(), List.of(customer), List.of(), "ordinary");
+    }
+}
