Add the companion process

The machines of the core need a process around them. CompanionRuntime binds the sockets, opens a session after the first announcement, replaces a retired incarnation and runs the graceful stop. Ingress finds the owner, passes a request to the own gate or over one hop and retries what is known not to have run. Grants, load polling, log reading, batched appends, the requests stream and the operators' paths are driven from here.

--- a/node/src/main/java/org/siskintiller/node/CompanionMain.java
+++ b/node/src/main/java/org/siskintiller/node/CompanionMain.java
@@ -1,8 +1,18 @@
 package org.siskintiller.node;
 
+import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
+import org.siskintiller.config.CompanionSettings;
+import org.siskintiller.config.CompanionSettingsParser;
+import org.siskintiller.config.ConfigProblem;
+import org.siskintiller.config.Parsed;
+import org.siskintiller.node.backend.BackendClient;
+import org.siskintiller.node.runtime.CompanionRuntime;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -18,24 +28,79 @@
             "0:stopped after a graceful shutdown, or the settings are valid",
             "1:failure while running",
             "2:wrong command line",
-            "3:invalid settings",
+            "3:settings missing, unreadable or invalid",
             "4:an address cannot be bound"
         })
 public final class CompanionMain implements Callable<Integer> {
     static final int EXIT_OK = 0;
+    static final int EXIT_FAILED = 1;
+    static final int EXIT_SETTINGS = 3;
+    static final int EXIT_BIND = 4;
+
+    /** Time that the process may take to exit beyond the bound of the graceful stop. */
+    private static final long EXIT_GRACE_MS = 2000;
 
     @Option(names = "--settings", required = true, paramLabel = "FILE", description = "Process settings (INI).")
-    private Path settings;
+    private Path file;
 
     @Option(names = "--check", description = "Check the settings and exit.")
     private boolean check;
 
     @Override
-    public Integer call() {
-        return EXIT_OK;
+    public Integer call() throws InterruptedException {
+        Parsed<CompanionSettings> parsed;
+        try {
+            parsed = CompanionSettingsParser.parse(file.toString(), Files.readString(file));
+        } catch (IOException e) {
+            System.err.println(file + " cannot be read: " + e.getMessage() + "; name a readable INI file");
+            return EXIT_SETTINGS;
+        }
+        if (parsed instanceof Parsed.Invalid<CompanionSettings> invalid) {
+            for (ConfigProblem problem : invalid.problems()) {
+                System.err.println(problem);
+            }
+            return EXIT_SETTINGS;
+        }
+        if (check) {
+            System.out.println(file + " is valid");
+            return EXIT_OK;
+        }
+        return run(((Parsed.Ok<CompanionSettings>) parsed).value());
+    }
+
+    private static int run(CompanionSettings settings) throws InterruptedException {
+        CompanionRuntime runtime = new CompanionRuntime(settings, CompanionRuntime.logClient(settings));
+        try {
+            runtime.start();
+        } catch (IOException e) {
+            System.err.println(e.getMessage() + "; choose a free address in [companion] http and peer");
+            runtime.close();
+            return EXIT_BIND;
+        }
+        CountDownLatch ended = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stopOnSignal(runtime, settings, ended)));
+        boolean clean = runtime.awaitEnd();
+        runtime.close();
+        ended.countDown();
+        return clean ? EXIT_OK : EXIT_FAILED;
+    }
+
+    /** Runs the graceful stop on SIGTERM. The JVM would report the signal as exit code 143, so it is halted with 0. */
+    private static void stopOnSignal(CompanionRuntime runtime, CompanionSettings settings, CountDownLatch ended) {
+        if (ended.getCount() == 0) {
+            return;
+        }
+        runtime.stop("signal");
+        try {
+            boolean clean = ended.await(settings.limits().stopTimeoutMs() + EXIT_GRACE_MS, TimeUnit.MILLISECONDS);
+            Runtime.getRuntime().halt(clean ? EXIT_OK : EXIT_FAILED);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     public static void main(String[] args) {
+        BackendClient.configureJdkClient();
         System.exit(new CommandLine(new CompanionMain()).execute(args));
     }
 }
--- a/node/src/main/java/org/siskintiller/node/peer/PeerStream.java
+++ b/node/src/main/java/org/siskintiller/node/peer/PeerStream.java
@@ -24,6 +24,7 @@
     private final List<Runnable> failureActions = new ArrayList<>();
     private boolean receivedAll;
     private boolean sentAll;
+    private boolean done;
     private StreamFailedException failure;
 
     PeerStream(PeerConnection connection, long id, RequestId requestId) {
@@ -82,7 +83,7 @@
         closeIfDone();
     }
 
-    /** Gives the stream up on both sides. */
+    /** Gives the stream up on both sides. Does nothing when both bodies are complete. */
     public void reset(Outcome outcome, String reason) {
         if (!fail(new StreamFailedException(Outcome.UNKNOWN, reason))) {
             return;
@@ -160,15 +161,16 @@
             if (!receivedAll || !sentAll) {
                 return;
             }
+            done = true;
         }
         connection.remove(id);
     }
 
-    /** Fails both directions; false if the stream has failed before. */
+    /** Fails both directions; false if the stream has ended before. */
     boolean fail(StreamFailedException cause) {
         List<Runnable> actions;
         synchronized (this) {
-            if (failure != null) {
+            if (failure != null || done) {
                 return false;
             }
             failure = cause;
--- /dev/null
+++ b/node/src/main/java/org/siskintiller/node/runtime/CompanionRuntime.java
@@ -0,0 +1,311 @@
+package org.siskintiller.node.runtime;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.siskintiller.config.CompanionSettings;
+import org.siskintiller.core.control.ControlEvent;
+import org.siskintiller.core.control.ControlNotice;
+import org.siskintiller.core.gate.GateEvent;
+import org.siskintiller.core.model.Address;
+import org.siskintiller.core.model.BackendServer;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.model.PeerMessage;
+import org.siskintiller.core.model.Session;
+import org.siskintiller.core.replay.ClusterState;
+import org.siskintiller.logclient.HttpLogClient;
+import org.siskintiller.logclient.LogClient;
+import org.siskintiller.logclient.LogClientSettings;
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
+import org.siskintiller.node.backend.Announcement;
+import org.siskintiller.node.backend.BackendClient;
+import org.siskintiller.node.http.CallerServer;
+import org.siskintiller.node.http.RequestParser;
+import org.siskintiller.node.operator.OperatorPages;
+import org.siskintiller.node.peer.PeerHandler;
+import org.siskintiller.node.peer.PeerStream;
+import org.siskintiller.node.peer.PeerTransport;
+import org.siskintiller.wire.proto.Proto;
+
+/** The companion process: sockets, the present incarnation and its replacement, and the graceful stop. */
+public final class CompanionRuntime implements PeerHandler, GenerationOwner, AutoCloseable {
+    private static final Incarnation NO_INCARNATION = new Incarnation(1);
+    /** Upper bound of the time in which a leaving backend server may still get new work, below the promised 3 s. */
+    private static final long DRAIN_AFTER_MS = 2000;
+
+    private final CompanionSettings settings;
+    private final LogClient log;
+    private final PeerTransport transport = new PeerTransport(this);
+    private final PeerDirectory directory;
+    private final NodeMetrics metrics = new NodeMetrics();
+    private final ExecutorService pumps = Threads.bounded("body", 4096);
+    private final ScheduledExecutorService lifecycle = Threads.scheduled("lifecycle");
+    private final CountDownLatch finished = new CountDownLatch(1);
+    private PeerRequests peerRequests;
+    private CallerServer callers;
+    private Address peerAddress;
+    private BackendClient backend;
+    private volatile Generation generation;
+    private volatile boolean stopping;
+    private volatile boolean cleanStop;
+    private boolean handedOver;
+    private boolean drained;
+
+    public CompanionRuntime(CompanionSettings settings, LogClient log) {
+        this.settings = settings;
+        this.log = log;
+        this.directory = new PeerDirectory(settings);
+    }
+
+    /** Binds the sockets and starts to serve. The session opens after the first announcement. */
+    public void start() throws IOException {
+        peerRequests = new PeerRequests(
+                this::generation,
+                settings.limits().maxBodyBytes(),
+                settings.limits().maxCallers());
+        peerAddress = transport.bind(settings.peer());
+        RemoteCall remote = new RemoteCall(transport, pumps, this::reported);
+        Ingress ingress = new Ingress(this::generation, remote, directory, settings.limits(), metrics);
+        callers = new CallerServer(
+                settings.http(),
+                settings.limits(),
+                new RequestParser(settings.limits(), Ids::requestId),
+                ingress,
+                new OperatorPages(new RuntimeView(this), this::announced, metrics.registry()));
+        callers.start();
+        EventLog.log(LogEvent.LISTENING, "callers " + callers.address() + ", companions " + peerAddress);
+    }
+
+    Optional<Generation> generation() {
+        return Optional.ofNullable(generation);
+    }
+
+    CompanionSettings settings() {
+        return settings;
+    }
+
+    public Address callerAddress() {
+        return callers.address();
+    }
+
+    /** The backend server announced itself. */
+    private void announced(Announcement announcement) {
+        lifecycle.execute(() -> follow(announcement));
+    }
+
+    private void follow(Announcement announcement) {
+        BackendServer server = announcement.backendServer();
+        if (backend == null) {
+            EventLog.log(LogEvent.BACKEND_ANNOUNCED, server.toString());
+            backend = new BackendClient(server, Clock::nowNs);
+            begin(server);
+        } else if (generation != null
+                && !generation.session().backendServer().service().equals(server.service())) {
+            EventLog.log(LogEvent.BACKEND_ANNOUNCEMENT_INVALID, "the service changed to " + server.service());
+            return;
+        }
+        backend.moveTo(server.address());
+        if (announcement.leaving() && !stopping) {
+            EventLog.log(LogEvent.BACKEND_LEAVING, server.toString());
+            stop("backend server");
+        }
+    }
+
+    private void begin(BackendServer server) {
+        Session session = new Session(
+                Ids.incarnation(),
+                settings.instance(),
+                settings.failureDomain(),
+                callers.address(),
+                peerAddress,
+                server,
+                java.util.List.of(),
+                0,
+                -1,
+                false);
+        generation = new Generation(session, log, backend, this::send, this);
+        EventLog.log(LogEvent.STARTED, settings.instance() + " incarnation " + session.incarnation());
+        generation.start();
+    }
+
+    private void send(ClusterState state, Incarnation to, PeerMessage message) {
+        if (message instanceof PeerMessage.Datagram datagram) {
+            directory
+                    .udp(state, to)
+                    .ifPresentOrElse(address -> transport.sendDatagram(address, datagram), () -> unknown(to));
+        } else {
+            directory
+                    .tcp(state, to)
+                    .ifPresentOrElse(address -> transport.sendControl(address, message), () -> unknown(to));
+        }
+    }
+
+    private static void unknown(Incarnation to) {
+        EventLog.log(LogEvent.PEER_UNREACHABLE, to.toString());
+    }
+
+    private void reported(Proto.ResponseHead head) {
+        Generation own = generation;
+        if (own != null && head.getSuspicionsCount() > 0) {
+            own.gate().submit(new GateEvent.SuspicionsReceived(RemoteCall.fromProto(head.getSuspicionsList())));
+        }
+    }
+
+    @Override
+    public Incarnation incarnation() {
+        Generation own = generation;
+        return own == null ? NO_INCARNATION : own.incarnation();
+    }
+
+    @Override
+    public void onMessage(PeerMessage message) {
+        Generation own = generation;
+        if (own != null) {
+            own.control().submit(new ControlEvent.MessageReceived(message));
+        }
+    }
+
+    @Override
+    public void onDatagram(PeerMessage.Datagram message, InetSocketAddress source) {
+        directory.learn(message, source);
+        onMessage(message);
+    }
+
+    @Override
+    public void onRequest(PeerStream stream, Proto.RequestHead head) {
+        peerRequests.accept(stream, head);
+    }
+
+    @Override
+    public void retired(Generation retired, String reason) {
+        lifecycle.execute(() -> {
+            if (retired != generation) {
+                return;
+            }
+            EventLog.log(LogEvent.INCARNATION_RETIRED, retired.incarnation() + ": " + reason);
+            retired.retire();
+            if (stopping) {
+                handedOver = true;
+                finishIfQuiet();
+                return;
+            }
+            begin(retired.session().backendServer());
+        });
+    }
+
+    /** Starts the graceful stop. The second call has no effect. */
+    public void stop(String requestedBy) {
+        lifecycle.execute(() -> {
+            if (stopping) {
+                return;
+            }
+            stopping = true;
+            EventLog.log(LogEvent.STOP_REQUESTED, requestedBy);
+            if (generation == null) {
+                cleanStop = true;
+                finished.countDown();
+                return;
+            }
+            generation.control().submit(new ControlEvent.StopRequested(requestedBy));
+            lifecycle.schedule(this::drain, DRAIN_AFTER_MS, TimeUnit.MILLISECONDS);
+            lifecycle.schedule(this::stopTimedOut, settings.limits().stopTimeoutMs(), TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private void drain() {
+        generation.gate().submit(new GateEvent.DrainStarted());
+    }
+
+    @Override
+    public void stopped(Generation stopped) {
+        lifecycle.execute(() -> {
+            stopping = true;
+            handedOver = true;
+            drain();
+            finishIfQuiet();
+        });
+    }
+
+    @Override
+    public void drained(Generation quiet) {
+        lifecycle.execute(() -> {
+            drained = true;
+            finishIfQuiet();
+        });
+    }
+
+    private void finishIfQuiet() {
+        if (!handedOver) {
+            return;
+        }
+        boolean quiet = (drained || generation.gate().inFlight() == 0) && callers.running() == 0;
+        if (quiet) {
+            cleanStop = true;
+            finished.countDown();
+        } else {
+            lifecycle.schedule(this::finishIfQuiet, 50, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void stopTimedOut() {
+        if (finished.getCount() > 0) {
+            EventLog.log(LogEvent.STOP_TIMED_OUT, settings.limits().stopTimeoutMs() + " ms");
+            cleanStop = true;
+            finished.countDown();
+        }
+    }
+
+    @Override
+    public void noticed(ControlNotice notice, String detail) {
+        metrics.control(notice.name().toLowerCase(java.util.Locale.ROOT));
+        EventLog.log(LogEvent.valueOf(notice.name()), detail);
+    }
+
+    @Override
+    public void backendChanged(boolean serving, String reason) {
+        EventLog.log(LogEvent.BACKEND_CHANGED, (serving ? "serving: " : "not serving: ") + reason);
+    }
+
+    @Override
+    public void failed(RuntimeException cause) {
+        EventLog.log(LogEvent.CONTROL_FAILED, cause.toString(), cause);
+        finished.countDown();
+    }
+
+    /** Waits for the end; true after a graceful stop. */
+    public boolean awaitEnd() throws InterruptedException {
+        finished.await();
+        return cleanStop;
+    }
+
+    @Override
+    public void close() {
+        if (callers != null) {
+            callers.close();
+        }
+        if (generation != null) {
+            generation.close();
+        }
+        if (peerRequests != null) {
+            peerRequests.close();
+        }
+        transport.close();
+        pumps.shutdownNow();
+        lifecycle.shutdownNow();
+        if (backend != null) {
+            backend.close();
+        }
+        EventLog.log(LogEvent.STOPPED, settings.instance());
+    }
+
+    /** Creates the client of the log service that the settings name. */
+    public static LogClient logClient(CompanionSettings settings) {
+        return new HttpLogClient(LogClientSettings.defaults(settings.log()));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/siskintiller/node/runtime/GateActions.java
@@ -0,0 +1,70 @@
+package org.siskintiller.node.runtime;
+
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.siskintiller.core.control.ControlEvent;
+import org.siskintiller.core.gate.GateDecision;
+import org.siskintiller.core.gate.GateEvent;
+import org.siskintiller.core.model.PeerMessage;
+
+/** Carries out the gate's decisions on slots, records and customers. */
+final class GateActions implements GateEffects {
+    /** Longer waits for a standby would eat the deadline; the log is the second place then. */
+    private static final long STANDBY_TIMEOUT_MS = 50;
+
+    private final Generation generation;
+    private final PeerSender peers;
+    private final GenerationOwner owner;
+    private final Set<Long> unacknowledged = ConcurrentHashMap.newKeySet();
+
+    GateActions(Generation generation, PeerSender peers, GenerationOwner owner) {
+        this.generation = generation;
+        this.peers = peers;
+        this.owner = owner;
+    }
+
+    @Override
+    public void carryOut(GateDecision decision) {
+        if (decision instanceof GateDecision.StoreAtStandby store) {
+            storeAtStandby(store);
+        } else if (decision instanceof GateDecision.StoreInLog store) {
+            generation.requests().store(store);
+        } else if (decision instanceof GateDecision.RequestRecordsInLog) {
+            generation.control().submit(new ControlEvent.RecordsInLogRequested());
+        } else if (decision instanceof GateDecision.ReadRequestsStream) {
+            generation.requests().readToTail();
+        } else if (decision instanceof GateDecision.SlotsQuiesced quiesced) {
+            generation.quiesced(quiesced);
+        } else if (decision instanceof GateDecision.CustomerQuiesced quiesced) {
+            generation
+                    .control()
+                    .submit(new ControlEvent.CustomerQuiesced(quiesced.customer(), quiesced.removalOffset()));
+        } else if (decision instanceof GateDecision.Drained) {
+            owner.drained(generation);
+        } else if (decision instanceof GateDecision.BackendServerChanged changed) {
+            generation.control().submit(new ControlEvent.BackendServerChanged(changed.serving()));
+            owner.backendChanged(changed.serving(), changed.reason());
+        }
+    }
+
+    private void storeAtStandby(GateDecision.StoreAtStandby store) {
+        unacknowledged.add(store.sequence());
+        peers.send(
+                generation.control().state(),
+                store.standby(),
+                new PeerMessage.ReplicateRecords(
+                        generation.incarnation(), store.sequence(), store.reset(), store.records()));
+        generation.after(STANDBY_TIMEOUT_MS, () -> {
+            if (unacknowledged.remove(store.sequence())) {
+                generation.gate().submit(new GateEvent.RecordsNotStored(store.sequence()));
+            }
+        });
+    }
+
+    /** The standby stores the records of this sequence number. Earlier ones may have been lost on the way. */
+    void replicated(long sequence) {
+        unacknowledged.remove(sequence);
+        generation.gate().submit(new GateEvent.RecordsStored(sequence));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/siskintiller/node/runtime/Generation.java
@@ -0,0 +1,177 @@
+package org.siskintiller.node.runtime;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.siskintiller.core.control.ControlAction;
+import org.siskintiller.core.control.ControlEvent;
+import org.siskintiller.core.control.ControlPlane;
+import org.siskintiller.core.gate.Gate;
+import org.siskintiller.core.gate.GateDecision;
+import org.siskintiller.core.gate.GateEvent;
+import org.siskintiller.core.gate.GateStats;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.model.Session;
+import org.siskintiller.core.model.SlotVersion;
+import org.siskintiller.core.placement.SpreadPlanner;
+import org.siskintiller.logclient.LogClient;
+import org.siskintiller.node.backend.BackendClient;
+import org.siskintiller.node.backend.Grants;
+import org.siskintiller.node.backend.LoadPoller;
+import org.siskintiller.node.log.ControlAppender;
+import org.siskintiller.node.log.ControlStreamReader;
+import org.siskintiller.node.log.RequestsStream;
+import org.siskintiller.wire.proto.Proto;
+
+/** One incarnation: its control plane, its gate and the threads that drive them. */
+final class Generation implements AutoCloseable {
+    private static final long GATE_TICK_MS = 10;
+    private static final long LOAD_POLL_MS = 500;
+    private static final long LOAD_REPORT_MS = 2000;
+
+    private final Session session;
+    private final ControlDriver control;
+    private final GateDriver gate;
+    private final Grants grants;
+    private final SlotGate slots;
+    private final LoadMeter load;
+    private final ControlStreamReader reader;
+    private final RequestsStream requests;
+    private final ScheduledExecutorService timer = Threads.scheduled("generation");
+    private final ExecutorService logThreads = Threads.bounded("log", 2);
+    private final ExecutorService cancels = Threads.bounded("cancel", 256);
+    private final ControlAppender appender;
+    private final LoadPoller poller;
+    private final ControlActions actions;
+
+    Generation(Session session, LogClient log, BackendClient backend, PeerSender peers, GenerationOwner owner) {
+        this.session = session;
+        String service = session.backendServer().service();
+        load = new LoadMeter(service, Clock.nowNs());
+        grants = new Grants(backend, session.incarnation(), Clock::nowNs);
+        control = new ControlDriver(
+                new ControlPlane(session, Ids.seed(), new SpreadPlanner()), this::carryOut, owner::failed);
+        GateActions gateActions = new GateActions(this, peers, owner);
+        gate = new GateDriver(new Gate(session.backendServer(), session.incarnation()), gateActions, backend, cancels);
+        slots = new SlotGate(gate, grants, () -> control.state());
+        requests = new RequestsStream(log, Ids::operationId, gate::submit, service, Threads.factory("requests"));
+        appender = new ControlAppender(log, control::submit);
+        reader = new ControlStreamReader(log, control::apply);
+        poller = new LoadPoller(backend, gate::submit);
+        actions = new ControlActions(this, peers, owner, gateActions);
+    }
+
+    private void carryOut(ControlAction action) {
+        actions.carryOut(action);
+    }
+
+    void start() {
+        control.start();
+        logThreads.execute(reader);
+        logThreads.execute(appender);
+        every(GATE_TICK_MS, () -> gate.submit(new GateEvent.Tick()));
+        every(LOAD_POLL_MS, poller::poll);
+        every(LOAD_REPORT_MS, () -> control.submit(load.take(Clock.nowNs())));
+        control.submit(new ControlEvent.BackendServerChanged(true));
+    }
+
+    private void every(long ms, Runnable task) {
+        timer.scheduleWithFixedDelay(Threads.guarded(task), ms, ms, TimeUnit.MILLISECONDS);
+    }
+
+    void after(long ms, Runnable task) {
+        timer.schedule(Threads.guarded(task), ms, TimeUnit.MILLISECONDS);
+    }
+
+    /** Serves a request at the own gate. */
+    Attempt serve(GatedRequest request) throws IOException {
+        load.count(request.gate().slot(), request.head().key());
+        return gate.serve(request);
+    }
+
+    /** Head of a response with what other companions learn from it. */
+    Proto.ResponseHead.Builder report() {
+        GateStats stats = gate.stats();
+        Proto.ResponseHead.Builder head = Proto.ResponseHead.newBuilder();
+        for (GateStats.RankStats rank : stats.ranks()) {
+            head.addRankShares(
+                    Proto.RankShare.newBuilder().setRank(rank.rank()).setAdmittedShare(rank.admittedShare()));
+        }
+        return head.setLoad((double) stats.inFlight() / Math.max(1, stats.limit()));
+    }
+
+    Incarnation incarnation() {
+        return session.incarnation();
+    }
+
+    Session session() {
+        return session;
+    }
+
+    ControlDriver control() {
+        return control;
+    }
+
+    GateDriver gate() {
+        return gate;
+    }
+
+    SlotGate slots() {
+        return slots;
+    }
+
+    Grants grants() {
+        return grants;
+    }
+
+    RequestsStream requests() {
+        return requests;
+    }
+
+    ControlAppender appender() {
+        return appender;
+    }
+
+    boolean logAvailable() {
+        return reader.available();
+    }
+
+    /** Slots went quiet: their grants are taken back before another companion may serve them. */
+    void quiesced(GateDecision.SlotsQuiesced quiesced) {
+        List<Integer> numbers = new ArrayList<>();
+        for (SlotVersion slot : quiesced.slots()) {
+            numbers.add(slot.slot());
+        }
+        slots.closed(numbers);
+        control.submit(new ControlEvent.SlotsQuiesced(quiesced.service(), quiesced.slots()));
+    }
+
+    /** Refuses everything that waits; requests that run at the backend server go on. */
+    void retire() {
+        gate.submit(new GateEvent.LeaseExtended(Long.MIN_VALUE));
+        gate.submit(new GateEvent.DrainStarted());
+        close();
+    }
+
+    @Override
+    public void close() {
+        reader.stop();
+        control.close();
+        logThreads.shutdownNow();
+        requests.close();
+        slots.close();
+        // The gate's timer stays until nothing runs any more, so that deadlines of old requests still apply.
+        timer.scheduleWithFixedDelay(this::closeWhenQuiet, 1, 1, TimeUnit.SECONDS);
+    }
+
+    private void closeWhenQuiet() {
+        if (gate.inFlight() == 0) {
+            timer.shutdown();
+            cancels.shutdown();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/siskintiller/node/runtime/RemoteCall.java
@@ -0,0 +1,221 @@
+package org.siskintiller.node.runtime;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+
+import org.siskintiller.core.gate.GateRequest;
+import org.siskintiller.core.gate.RefusalKind.Outcome;
+import org.siskintiller.core.gate.Suspicion;
+import org.siskintiller.core.model.Address;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.node.http.ProblemReader;
+import org.siskintiller.node.peer.PeerStream;
+import org.siskintiller.node.peer.PeerTransport;
+import org.siskintiller.node.peer.StreamFailedException;
+import org.siskintiller.node.request.Header;
+import org.siskintiller.node.request.LimitedInputStream;
+import org.siskintiller.node.request.Problem;
+import org.siskintiller.node.request.RequestHead;
+import org.siskintiller.node.request.ResponseHead;
+import org.siskintiller.node.request.Streams;
+import org.siskintiller.wire.ModelCodec;
+import org.siskintiller.wire.proto.Proto;
+
+/** Serves a request through the companion beside the owner. */
+final class RemoteCall {
+    private static final int MAX_PROBLEM_BYTES = 16 * 1024;
+    /** The gate there answers at the deadline; this much later the answer is given up. */
+    private static final long GRACE_NS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    private final PeerTransport transport;
+    private final Executor pumps;
+    private final Consumer<Proto.ResponseHead> reports;
+
+    /**
+     * Creates the caller side.
+     *
+     * @param pumps threads that send bodies
+     * @param reports receives the heads of responses with their admitted shares, load and suspicions
+     */
+    RemoteCall(PeerTransport transport, Executor pumps, Consumer<Proto.ResponseHead> reports) {
+        this.transport = transport;
+        this.pumps = pumps;
+        this.reports = reports;
+    }
+
+    Attempt call(GatedRequest request, Address to) {
+        PeerStream stream;
+        try {
+            stream = transport.open(to, requestHead(request));
+        } catch (StreamFailedException e) {
+            return unreachable(e);
+        }
+        sendBody(request, stream);
+        Proto.ResponseHead head;
+        try {
+            long waitNs = request.gate().deadlineNs() - Clock.nowNs() + GRACE_NS;
+            head = stream.responseHead().get(Math.max(1, waitNs), TimeUnit.NANOSECONDS);
+        } catch (ExecutionException e) {
+            return unreachable((StreamFailedException) e.getCause());
+        } catch (TimeoutException e) {
+            stream.reset(Outcome.UNKNOWN, "the deadline passed");
+            return unreachable(new StreamFailedException(Outcome.UNKNOWN, "no answer within the deadline"));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            stream.reset(Outcome.UNKNOWN, "the companion stops");
+            return unreachable(new StreamFailedException(Outcome.UNKNOWN, "the companion stops"));
+        }
+        reports.accept(head);
+        return receive(request, stream, head);
+    }
+
+    private void sendBody(GatedRequest request, PeerStream stream) {
+        if (!request.head().hasBody()) {
+            pump(request.body(), stream);
+            return;
+        }
+        pumps.execute(() -> pump(request.body(), stream));
+    }
+
+    private static void pump(InputStream body, PeerStream stream) {
+        try {
+            Streams.copy(body, stream.outgoing());
+            stream.finish();
+        } catch (StreamFailedException | Streams.TargetLostException e) {
+            stream.reset(Outcome.UNKNOWN, "the stream failed");
+        } catch (IOException e) {
+            stream.reset(Outcome.UNKNOWN, "the caller's body was cut");
+        }
+    }
+
+    private static Attempt receive(GatedRequest request, PeerStream stream, Proto.ResponseHead head) {
+        List<Header> headers = new ArrayList<>();
+        long length = -1;
+        boolean problem = false;
+        for (Proto.Header header : head.getHeadersList()) {
+            if (header.getName().equalsIgnoreCase("Content-Length")) {
+                length = contentLength(header.getValue());
+            } else {
+                problem |= header.getName().equalsIgnoreCase(PeerSink.OUTCOME_HEADER);
+                headers.add(new Header(header.getName(), header.getValue()));
+            }
+        }
+        try {
+            if (problem) {
+                return problem(stream);
+            }
+            return transfer(request, stream, new ResponseHead(head.getStatus(), headers, length));
+        } catch (IOException e) {
+            if (!request.sink().started()) {
+                return unreachable(new StreamFailedException(Outcome.RAN, "the answer was cut: " + e.getMessage()));
+            }
+            request.sink().abort(e.getMessage());
+            return new Attempt.Done(false);
+        } finally {
+            // Ends a body that is still being sent after the answer is complete; does nothing otherwise.
+            stream.reset(Outcome.UNKNOWN, "the answer is complete");
+        }
+    }
+
+    /** Returns the length, -1 for a malformed one; the end of the stream then ends the body. */
+    static long contentLength(String value) {
+        try {
+            return Math.max(-1, Long.parseLong(value));
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    private static Attempt transfer(GatedRequest request, PeerStream stream, ResponseHead head) throws IOException {
+        boolean bodyless = request.head().method().equals("HEAD") || head.status() == 204 || head.status() == 304;
+        InputStream body =
+                new LimitedInputStream(stream.incoming(), Long.MAX_VALUE, bodyless ? -1 : head.contentLength());
+        OutputStream out = request.sink().start(head);
+        Streams.copy(body, out);
+        request.sink().finish();
+        return new Attempt.Done(true);
+    }
+
+    private static Attempt problem(PeerStream stream) throws IOException {
+        byte[] body = stream.incoming().readNBytes(MAX_PROBLEM_BYTES);
+        Problem problem = ProblemReader.read(body)
+                .orElse(new Problem(
+                        502, "malformed-answer", "the companion's answer is malformed", Outcome.UNKNOWN, "retry", 0));
+        return new Attempt.Failed(problem, false);
+    }
+
+    private static Attempt unreachable(StreamFailedException cause) {
+        boolean notRun = cause.outcome() == Outcome.NOT_RUN;
+        return new Attempt.Failed(
+                new Problem(
+                        notRun ? 503 : 502,
+                        notRun ? "owner-unreachable" : "answer-lost",
+                        String.valueOf(cause.getMessage()),
+                        cause.outcome(),
+                        notRun ? "retry" : "repeat with the same Idempotency-Key, or if the request is idempotent",
+                        0),
+                true);
+    }
+
+    private static Proto.RequestHead.Builder requestHead(GatedRequest request) {
+        RequestHead head = request.head();
+        GateRequest gate = request.gate();
+        Proto.RequestHead.Builder builder = Proto.RequestHead.newBuilder()
+                .setRequestId(ModelCodec.toProto(head.id()))
+                .setMethod(head.method())
+                .setPath(head.path())
+                .setService(head.service())
+                .setCustomer(gate.customer())
+                .setRank(gate.rank())
+                .setGeneratedKey(gate.generatedKey())
+                .setDigest(gate.digest())
+                .setFingerprint(gate.fingerprint())
+                .setDeadlineMs(Math.max(1, (gate.deadlineNs() - Clock.nowNs()) / 1_000_000));
+        for (Header header : head.headers()) {
+            builder.addHeaders(Proto.Header.newBuilder().setName(header.name()).setValue(header.value()));
+        }
+        if (head.contentLength() >= 0) {
+            builder.addHeaders(
+                    Proto.Header.newBuilder().setName("Content-Length").setValue(Long.toString(head.contentLength())));
+        }
+        if (gate.slot() != null) {
+            builder.setSlot(gate.slot().slot());
+        }
+        if (head.key() != null) {
+            builder.setKey(head.key());
+        }
+        if (gate.idempotencyKey() != null) {
+            builder.setIdempotencyKey(gate.idempotencyKey());
+        }
+        for (Suspicion suspicion : gate.suspicions()) {
+            builder.addSuspicions(toProto(suspicion));
+        }
+        return builder;
+    }
+
+    static Proto.Suspicion toProto(Suspicion suspicion) {
+        Proto.Suspicion.Builder builder = Proto.Suspicion.newBuilder().setFingerprint(suspicion.fingerprint());
+        for (Incarnation lost : suspicion.lostAt()) {
+            builder.addLostAt(lost.id());
+        }
+        return builder.build();
+    }
+
+    static List<Suspicion> fromProto(List<Proto.Suspicion> suspicions) {
+        List<Suspicion> result = new ArrayList<>();
+        for (Proto.Suspicion suspicion : suspicions) {
+            java.util.Set<Incarnation> lost = new java.util.HashSet<>();
+            suspicion.getLostAtList().forEach(id -> lost.add(new Incarnation(id)));
+            result.add(new Suspicion(suspicion.getFingerprint(), lost));
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/siskintiller/node/runtime/SlotGate.java
@@ -0,0 +1,92 @@
+package org.siskintiller.node.runtime;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Supplier;
+
+import org.siskintiller.core.control.ControlAction;
+import org.siskintiller.core.gate.GateEvent;
+import org.siskintiller.core.model.Fence;
+import org.siskintiller.core.model.ServiceConfig;
+import org.siskintiller.core.replay.ClusterState;
+import org.siskintiller.node.backend.Grants;
+
+/**
+ * Opens and closes slots at the backend server and the gate. One thread keeps the order, since the gate learns of an
+ * opened slot only after the backend server has accepted its grant.
+ */
+final class SlotGate implements AutoCloseable {
+    private final GateDriver gate;
+    private final Grants grants;
+    private final Supplier<ClusterState> state;
+    private final ExecutorService thread = Threads.single("slots");
+    private final Map<Integer, Fence> open = new ConcurrentHashMap<>();
+
+    SlotGate(GateDriver gate, Grants grants, Supplier<ClusterState> state) {
+        this.gate = gate;
+        this.grants = grants;
+        this.state = state;
+    }
+
+    void open(ControlAction.OpenSlots action) {
+        execute(() -> {
+            if (checksFence(action.service())) {
+                try {
+                    grants.open(action.slots());
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                    return;
+                }
+            }
+            action.slots().forEach(slot -> open.put(slot.slot(), slot.fence()));
+            gate.submit(new GateEvent.SlotsOpened(
+                    action.service(),
+                    action.slots(),
+                    action.standby(),
+                    action.recordsComplete(),
+                    action.readRequestsStream()));
+        });
+    }
+
+    void close(ControlAction.CloseSlots action) {
+        execute(() -> gate.submit(new GateEvent.SlotsClosing(action.service(), action.slots())));
+    }
+
+    /** The slots are quiet. */
+    void closed(Collection<Integer> slots) {
+        execute(() -> {
+            slots.forEach(open::remove);
+            grants.drop(slots);
+        });
+    }
+
+    /** Open slots with their fences. */
+    Map<Integer, Fence> openSlots() {
+        return Map.copyOf(open);
+    }
+
+    private boolean checksFence(String service) {
+        return state.get()
+                .config()
+                .service(service)
+                .map(ServiceConfig::checksFence)
+                .orElse(true);
+    }
+
+    private void execute(Runnable task) {
+        try {
+            thread.execute(Threads.guarded(task));
+        } catch (RejectedExecutionException e) {
+            // The generation has ended; its lease is gone and the gate refuses everything.
+            return;
+        }
+    }
+
+    @Override
+    public void close() {
+        thread.shutdownNow();
+    }
+}
