--- a/standin/src/main/java/org/siskintiller/standin/StandinMain.java
+++ b/standin/src/main/java/org/siskintiller/standin/StandinMain.java
@@ -3,6 +3,7 @@
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
+import org.siskintiller.standin.backend.BackendCommand;
 import org.siskintiller.standin.log.LogCommand;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
@@ -16,7 +17,7 @@
         mixinStandardHelpOptions = true,
         versionProvider = StandinMain.Version.class,
         scope = ScopeType.INHERIT,
-        subcommands = {LogCommand.class},
+        subcommands = {LogCommand.class, BackendCommand.class},
         description = "Stand-ins for the platform in tests and the demo.")
 public final class StandinMain {
 
