Add the operators' tool

Operators publish configuration, switch presets, drain instances, remove customers and read the audit trail through the log.

--- /dev/null
+++ b/ctl/src/main/java/org/siskintiller/ctl/ControlStream.java
@@ -0,0 +1,147 @@
+package org.siskintiller.ctl;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.siskintiller.core.model.AuditEntry;
+import org.siskintiller.core.model.LogEntry;
+import org.siskintiller.core.model.LogRecord;
+import org.siskintiller.core.replay.ClusterState;
+import org.siskintiller.core.replay.Replay;
+import org.siskintiller.logclient.LogClient;
+import org.siskintiller.logclient.ReadResult;
+import org.siskintiller.logclient.StoredRecord;
+import org.siskintiller.wire.Decoded;
+import org.siskintiller.wire.LogCodec;
+
+/**
+ * Reads and replays the control stream. Reading begins at offset 0 or, when the first records have expired, at the
+ * first retained snapshot.
+ */
+final class ControlStream {
+    static final String NAME = "control";
+    private static final int BATCH = 500;
+
+    private final LogClient client;
+    private final List<RecordVisitor> visitors = new ArrayList<>();
+    /** Records before a usable snapshot; null once replay has started. */
+    private List<StoredRecord> beforeSnapshot;
+
+    private long firstRetained;
+    private long next;
+    private ClusterState state = ClusterState.EMPTY;
+
+    ControlStream(LogClient client) {
+        this.client = client;
+    }
+
+    /** Passes records that are read from now on to a visitor. */
+    void addVisitor(RecordVisitor visitor) {
+        visitors.add(visitor);
+    }
+
+    /** State through the last replayed record. */
+    ClusterState state() {
+        return state;
+    }
+
+    /** Offset that is read next. */
+    long nextOffset() {
+        return next;
+    }
+
+    /**
+     * Reads on until nothing follows.
+     *
+     * @param waitMs longest time to wait for a first new record
+     */
+    Progress readToTail(long waitMs) {
+        long wait = waitMs;
+        while (true) {
+            ReadResult result = client.read(NAME, next, BATCH, wait);
+            if (result instanceof ReadResult.Unavailable) {
+                return new Progress.Unavailable(((ReadResult.Unavailable) result).reason());
+            }
+            if (result instanceof ReadResult.Expired) {
+                restartAt(((ReadResult.Expired) result).firstRetained());
+                continue;
+            }
+            ReadResult.Read read = (ReadResult.Read) result;
+            boolean restarted = replay(read.records());
+            if (restarted) {
+                continue;
+            }
+            next = Math.max(next, read.nextOffset());
+            if (read.atTail()) {
+                return beforeSnapshot == null
+                        ? new Progress.AtTail()
+                        : new Progress.Unavailable("the log keeps neither its first record nor a snapshot; wait until a"
+                                + " companion writes one");
+            }
+            wait = 0;
+        }
+    }
+
+    private void restartAt(long offset) {
+        firstRetained = offset;
+        next = offset;
+        beforeSnapshot = new ArrayList<>();
+    }
+
+    /** Replays records. Returns true when reading goes back to the records that follow a snapshot's state. */
+    private boolean replay(List<StoredRecord> records) {
+        for (StoredRecord stored : records) {
+            if (beforeSnapshot == null) {
+                apply(stored);
+                continue;
+            }
+            LogEntry entry = decode(stored);
+            if (entry.record() instanceof LogRecord.Snapshot) {
+                LogRecord.Snapshot snapshot = (LogRecord.Snapshot) entry.record();
+                if (snapshot.throughOffset() + 1 >= firstRetained) {
+                    startFrom(snapshot);
+                    return true;
+                }
+            }
+            beforeSnapshot.add(stored);
+        }
+        return false;
+    }
+
+    private void startFrom(LogRecord.Snapshot snapshot) {
+        for (StoredRecord stored : beforeSnapshot) {
+            if (stored.offset() <= snapshot.throughOffset()) {
+                publish(new ReplayedRecord(decode(stored), stored.timeMs(), ClusterState.EMPTY, Optional.empty()));
+            }
+        }
+        beforeSnapshot = null;
+        state = ClusterState.of(snapshot.state());
+        next = state.appliedOffset() + 1;
+    }
+
+    private void apply(StoredRecord stored) {
+        LogEntry entry = decode(stored);
+        Replay.Step step = Replay.apply(state, entry);
+        ReplayedRecord replayed = new ReplayedRecord(entry, stored.timeMs(), state, Optional.of(step.outcome()));
+        state = step.state();
+        next = entry.offset() + 1;
+        publish(replayed);
+    }
+
+    private void publish(ReplayedRecord replayed) {
+        visitors.forEach(visitor -> visitor.visit(replayed));
+    }
+
+    /** A payload that cannot be decoded has no effect on any process; it stands in the audit trail. */
+    private static LogEntry decode(StoredRecord stored) {
+        Decoded<LogEntry> decoded = LogCodec.decode(
+                stored.offset(), stored.operationId(), stored.payload().toArray());
+        if (decoded instanceof Decoded.Ok) {
+            return ((Decoded.Ok<LogEntry>) decoded).value();
+        }
+        String reason = ((Decoded.Malformed<LogEntry>) decoded).reason();
+        AuditEntry malformed = new AuditEntry("unknown", "malformed record", "", "", reason);
+        return new LogEntry(stored.offset(), stored.operationId(), new LogRecord.Audited(malformed));
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/siskintiller/ctl/OutputOptions.java
@@ -0,0 +1,13 @@
+package org.siskintiller.ctl;
+
+import picocli.CommandLine.Option;
+
+/** Option of every command. */
+final class OutputOptions {
+    @Option(names = "--json", description = "Print one JSON document in place of text.")
+    private boolean json;
+
+    boolean json() {
+        return json;
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/siskintiller/ctl/SessionStatus.java
@@ -0,0 +1,45 @@
+package org.siskintiller.ctl;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * What a companion says about itself.
+ *
+ * @param configVersion version in force there, -1 when the companion did not answer
+ * @param appliedOffset last applied offset there, -1 when the companion did not answer
+ * @param note why the companion did not answer, or empty
+ */
+record SessionStatus(
+        SessionAddress session, long configVersion, long appliedOffset, boolean lease, long ownedSlots, String note) {
+
+    static SessionStatus of(SessionAddress session, CompanionClient.Reply reply) {
+        if (reply instanceof CompanionClient.Unreachable unreachable) {
+            return new SessionStatus(session, -1, -1, false, 0, unreachable.reason());
+        }
+        JsonNode body = ((CompanionClient.Answered) reply).body();
+        if (!body.has("configVersion")) {
+            return new SessionStatus(session, -1, -1, false, 0, "the companion has no session yet");
+        }
+        return new SessionStatus(
+                session,
+                body.path("configVersion").asLong(-1),
+                body.path("appliedOffset").asLong(-1),
+                body.path("lease").path("held").asBoolean(false),
+                body.path("ownedSlots").asLong(0),
+                body.path("incarnation").asText(session.incarnation()).equals(session.incarnation())
+                        ? ""
+                        : "another incarnation answers");
+    }
+
+    boolean answered() {
+        return configVersion >= 0;
+    }
+
+    /**
+     * Open session as the log or a companion names it.
+     *
+     * @param http address of the companion for operators
+     */
+    record SessionAddress(
+            String instance, String incarnation, String failureDomain, String service, String http, boolean draining) {}
+}
