Record the own end on retirement and probe witnesses before opening

Cause: with random faults, sessions opened with witnesses that were long lost, retired after 10 s, and left one more open session behind which nobody could end. Change: a retiring companion appends its own end; a session opens with witnesses that answered a heartbeat; sessions whose witnesses have ended are claimed from time to time; a backend server's loss and a stop without the log give the lease up at once.

--- a/core/src/main/java/org/siskintiller/core/control/ControlPlane.java
+++ b/core/src/main/java/org/siskintiller/core/control/ControlPlane.java
@@ -15,6 +15,7 @@
 import org.siskintiller.core.replay.ClusterState;
 import org.siskintiller.core.session.Claims;
 import org.siskintiller.core.session.EndRegistry;
+import org.siskintiller.core.session.OrphanCheck;
 import org.siskintiller.core.session.SessionLease;
 import org.siskintiller.core.session.Witness;
 import org.siskintiller.core.session.WitnessChanges;
@@ -30,6 +31,7 @@
     private final SessionLease lease;
     private final WitnessChanges witnessChanges;
     private final Claims claims;
+    private final OrphanCheck orphans;
     private final Witness witness;
     private final OwnershipTable table;
     private final ReleaseAnswers answers;
@@ -54,11 +56,12 @@
         lease = new SessionLease(context);
         witnessChanges = new WitnessChanges(context, lease, appender);
         claims = new Claims(context, ends, appender, relay);
+        orphans = new OrphanCheck(context, claims);
         witness = new Witness(context, claims);
         table = new OwnershipTable(context, lease, ends, claims, appender);
         answers = new ReleaseAnswers(context, table, lease, relay);
         departures = new Departures(context, appender);
-        opener = new SessionOpener(context, appender);
+        opener = new SessionOpener(context, appender, lease);
         loads = new LoadBook(context);
         this.planner = new PlannerDriver(context, appender, planner, loads);
         snapshots = new SnapshotProposer(context, appender, recordsPerSnapshot);
@@ -74,11 +77,12 @@
         }
         context.advanceTo(nowNs);
         if (lease.isHopeless()) {
-            shutdown.retire("the lease was lost and its witnesses cannot renew it");
-            return context.takeActions();
+            shutdown.onLeaseHopeless();
+        }
+        if (shutdown.isRetiring() ? isAboutLog(event) : !shutdown.isOver()) {
+            dispatch(event);
+            finish();
         }
-        dispatch(event);
-        finish();
         return context.takeActions();
     }
 
@@ -130,11 +134,26 @@
         }
     }
 
+    /** A retired incarnation answers nobody. */
+    private static boolean isAboutLog(ControlEvent event) {
+        return event instanceof ControlEvent.Tick
+                || event instanceof ControlEvent.RecordsRead
+                || event instanceof ControlEvent.AppendStored
+                || event instanceof ControlEvent.AppendUncertain;
+    }
+
     private void tick() {
+        if (shutdown.isRetiring()) {
+            appender.tick();
+            shutdown.tick();
+            return;
+        }
         lease.tick();
+        opener.proceed();
         witnessChanges.tick();
         witness.tick();
         claims.tick();
+        orphans.tick();
         table.tick();
         relay.tick();
         appender.tick();
@@ -152,6 +171,7 @@
             PeerMessage.HeartbeatAck ack = (PeerMessage.HeartbeatAck) message;
             relay.heard(ack.witness(), ack.appliedOffset());
             lease.onAck(ack);
+            opener.proceed();
             witnessChanges.onAck();
             answers.onMarked();
         } else if (message instanceof PeerMessage.LapseNotice) {
--- a/core/src/main/java/org/siskintiller/core/control/SessionOpener.java
+++ b/core/src/main/java/org/siskintiller/core/control/SessionOpener.java
@@ -1,50 +1,65 @@
 package org.siskintiller.core.control;
 
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.model.LogRecord;
 import org.siskintiller.core.model.OperationId;
+import org.siskintiller.core.session.SessionLease;
+import org.siskintiller.core.session.SessionTiming;
 import org.siskintiller.core.session.WitnessChoice;
 
-/** Opens the own session once the log was read to its tail and the backend server serves. */
+/**
+ * Opens the own session once the log was read to its tail and the backend server serves. Only sessions that answer a
+ * heartbeat become witnesses: an open session in the log may long be lost, and with such witnesses no lease runs.
+ */
 final class SessionOpener {
+    private static final long PROBE_NS = 600 * SessionTiming.MS;
+    private static final int MAX_PROBES = 3;
+
     private final ControlContext context;
     private final Appender appender;
+    private final SessionLease lease;
+    private final Set<Incarnation> silent = new HashSet<>();
+    private final Set<Incarnation> heard = new HashSet<>();
+    private List<Incarnation> probed;
+    private long probedSinceNs;
+    private int probes;
     private boolean tailSeen;
     private boolean serving;
     private boolean cancelled;
     private OperationId pending;
 
-    SessionOpener(ControlContext context, Appender appender) {
+    SessionOpener(ControlContext context, Appender appender, SessionLease lease) {
         this.context = context;
         this.appender = appender;
+        this.lease = lease;
     }
 
     void onTail() {
         tailSeen = true;
-        open();
+        proceed();
     }
 
     void onBackendServer(boolean nowServing) {
         serving = nowServing;
-        open();
+        proceed();
     }
 
     /** The own record was read but had no effect: a chosen witness has ended meanwhile. */
     void onVoid(OperationId id) {
         if (id.equals(pending)) {
-            pending = null;
-            open();
+            startOver();
         }
     }
 
     /** The state jumped to a snapshot. An own record in it that opened no session was void. */
     void onStateReplaced() {
         if (pending != null && !appender.isPending(pending) && !context.state().isOpen(context.self())) {
-            pending = null;
-            open();
+            startOver();
         }
     }
 
@@ -58,12 +73,56 @@
         return serving;
     }
 
-    private void open() {
+    /** Time has passed or a witness has answered. */
+    void proceed() {
         if (!tailSeen || !serving || cancelled || pending != null) {
             return;
         }
-        List<Incarnation> witnesses = WitnessChoice.choose(context.state(), context.self(), List.of(), Set.of());
+        if (probed == null) {
+            probe();
+        }
+        List<Incarnation> answered = new ArrayList<>(probed);
+        answered.removeIf(each -> lease.silentNs(each) >= context.nowNs() - probedSinceNs);
+        if (answered.size() == probed.size()) {
+            open(probed);
+        } else if (context.nowNs() - probedSinceNs >= PROBE_NS) {
+            heard.addAll(answered);
+            probed.stream().filter(each -> !answered.contains(each)).forEach(silent::add);
+            if (probes < MAX_PROBES) {
+                probe();
+            } else {
+                open(WitnessChoice.choose(context.state(), context.self(), List.copyOf(heard), unheard()));
+            }
+        }
+    }
+
+    private void probe() {
+        probes++;
+        probedSinceNs = context.nowNs();
+        probed = WitnessChoice.choose(context.state(), context.self(), List.copyOf(heard), silent);
+        lease.probe(probed);
+    }
+
+    private Set<Incarnation> unheard() {
+        Set<Incarnation> unheard = new HashSet<>();
+        context.state().forEachOpenSession(session -> {
+            if (!heard.contains(session.incarnation())) {
+                unheard.add(session.incarnation());
+            }
+        });
+        return unheard;
+    }
+
+    private void open(List<Incarnation> witnesses) {
+        lease.probe(List.of());
         pending =
                 appender.append(new LogRecord.SessionOpened(context.ownSession().withWitnesses(witnesses, 0)));
     }
+
+    private void startOver() {
+        pending = null;
+        probed = null;
+        probes = 0;
+        proceed();
+    }
 }
--- a/core/src/main/java/org/siskintiller/core/control/Shutdown.java
+++ b/core/src/main/java/org/siskintiller/core/control/Shutdown.java
@@ -37,6 +37,11 @@
         this.table = table;
     }
 
+    /** Whether the incarnation no longer acts, and only records its own end. */
+    boolean isRetiring() {
+        return phase == Phase.RETIRING;
+    }
+
     boolean isOver() {
         return phase == Phase.OVER;
     }
@@ -66,32 +71,64 @@
 
     /** Gives the slots to their standbys at once: nothing can be served here. */
     void onBackendServerLost() {
-        if (!lease.isOpen() || phase == Phase.GIVING_UP || phase == Phase.OVER) {
+        if (!lease.isOpen() || phase == Phase.GIVING_UP || phase == Phase.RETIRING || phase == Phase.OVER) {
             return;
         }
         reason = "the backend server was lost";
-        if (phase == Phase.NONE) {
-            requestedBy = null;
-        }
         giveUp();
     }
 
+    /** The lease cannot be renewed any more. */
+    void onLeaseHopeless() {
+        reason = "the lease was lost and its witnesses cannot renew it";
+        if (requestedBy == null) {
+            retire(reason);
+        } else {
+            giveUp();
+        }
+    }
+
     /** The log ended the own session. */
     void onOwnSessionEnded(Incarnation endedBy) {
         if (phase == Phase.CLOSING) {
             stopped();
+        } else if (phase == Phase.RETIRING) {
+            tickRetiring();
         } else if (phase == Phase.GIVING_UP) {
-            leave();
+            leaveWhenQuiet();
+        } else if (requestedBy != null) {
+            reason = "the session was ended by " + endedBy;
+            giveUp();
         } else {
             retire(endedBy == null ? "the session was closed" : "the session was ended by " + endedBy);
         }
     }
 
-    void retire(String why) {
-        phase = Phase.OVER;
-        context.emit(new ControlAction.LeaseExtended(Long.MIN_VALUE));
+    /** Stops acting, and records the own end so that it need not be claimed. */
+    private void retire(String why) {
+        reason = why;
         context.report(ControlNotice.SESSION_ENDED, why);
-        context.emit(new ControlAction.Retire(why));
+        lease.giveUp();
+        table.stop();
+        if (phase != Phase.GIVING_UP) {
+            recordOwnEnd();
+        }
+        enter(Phase.RETIRING);
+        tickRetiring();
+    }
+
+    private void recordOwnEnd() {
+        if (context.state().isOpen(context.self())) {
+            appender.append(new LogRecord.SessionEnded(
+                    context.self(), context.self(), context.state().appliedOffset()));
+        }
+    }
+
+    private void tickRetiring() {
+        if (!context.state().isOpen(context.self()) || elapsed(LOG_TIMEOUT_NS)) {
+            phase = Phase.OVER;
+            context.emit(new ControlAction.Retire(reason));
+        }
     }
 
     void tick() {
@@ -117,6 +154,9 @@
             case GIVING_UP:
                 tickGivingUp();
                 break;
+            case RETIRING:
+                tickRetiring();
+                break;
             default:
                 break;
         }
@@ -156,29 +196,29 @@
 
     private void giveUp() {
         enter(Phase.GIVING_UP);
+        lease.giveUp();
         table.stop();
-        if (lease.witnesses().isEmpty()) {
-            appender.append(new LogRecord.SessionClosed(context.self()));
-        }
+        recordOwnEnd();
         tickGivingUp();
     }
 
     private void tickGivingUp() {
         if (context.nowNs() >= nextGiveUpNs) {
             nextGiveUpNs = context.nowNs() + SessionTiming.RETRY_INTERVAL_NS;
-            lease.giveUp();
+            lease.announceGivenUp();
         }
-        // Without witnesses only the log can end the session.
-        if (elapsed(lease.witnesses().isEmpty() ? LOG_TIMEOUT_NS : GIVE_UP_NS)) {
-            leave();
+        // Without witnesses only the log can end the session. A planned stop lets running requests finish.
+        boolean told = elapsed(lease.witnesses().isEmpty() ? LOG_TIMEOUT_NS : GIVE_UP_NS);
+        if (told) {
+            leaveWhenQuiet();
         }
     }
 
-    private void leave() {
-        if (requestedBy != null) {
-            stopped();
-        } else {
+    private void leaveWhenQuiet() {
+        if (requestedBy == null) {
             retire(reason);
+        } else if (table.openCount() == 0 || elapsed(DRAIN_TIMEOUT_NS)) {
+            stopped();
         }
     }
 
@@ -206,6 +246,7 @@
         QUIESCING,
         CLOSING,
         GIVING_UP,
+        RETIRING,
         OVER
     }
 }
--- a/core/src/main/java/org/siskintiller/core/session/SessionLease.java
+++ b/core/src/main/java/org/siskintiller/core/session/SessionLease.java
@@ -9,6 +9,7 @@
 import org.siskintiller.core.control.ControlAction;
 import org.siskintiller.core.control.ControlContext;
 import org.siskintiller.core.control.ControlNotice;
+import org.siskintiller.core.invariant.Invariant;
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.model.PeerMessage;
 
@@ -75,7 +76,7 @@
         return count;
     }
 
-    /** Sends heartbeats to a set that may be proposed. */
+    /** Sends heartbeats to a set that may be proposed, also before the own session is open. */
     public void probe(List<Incarnation> witnesses) {
         probed = List.copyOf(witnesses);
         heartbeatNow();
@@ -148,7 +149,7 @@
 
     /** Whether the incarnation can no longer serve, so that a new one must be started. */
     public boolean isHopeless() {
-        if (!open) {
+        if (!open || givenUp) {
             return false;
         }
         for (WitnessSet set : required) {
@@ -174,7 +175,7 @@
     }
 
     public void tick() {
-        if (!open || givenUp) {
+        if (givenUp) {
             return;
         }
         noticeLoss();
@@ -184,7 +185,7 @@
     }
 
     public void heartbeatNow() {
-        if (!open || givenUp) {
+        if (givenUp || !open && probed.isEmpty()) {
             return;
         }
         lastHeartbeatNs = context.nowNs();
@@ -194,13 +195,18 @@
         renew();
     }
 
-    /** Gives up the lease for good and tells the witnesses, so that a standby can take over at once. */
+    /** Gives up the lease for good. */
     public void giveUp() {
         if (!givenUp) {
             givenUp = true;
             expiryNs = LOST;
             context.emit(new ControlAction.LeaseExtended(LOST));
         }
+    }
+
+    /** Tells the witnesses that the lease was given up, so that a standby can take over at once. */
+    public void announceGivenUp() {
+        Invariant.SOLE_OWNER.check(givenUp, "the lease is still held");
         for (Incarnation witness : targets()) {
             context.send(
                     witness,
@@ -210,6 +216,9 @@
     }
 
     private void renew() {
+        if (!open || givenUp) {
+            return;
+        }
         required.removeIf(set -> set.phase == Phase.REPLACED
                 && acks.markedOffset(set.members, SessionTiming.endQuorum(set.members.size())) >= set.replacedOffset);
         long renewedNs = Long.MAX_VALUE;
--- a/core/src/test/java/org/siskintiller/core/control/ClusterHarness.java
+++ b/core/src/test/java/org/siskintiller/core/control/ClusterHarness.java
@@ -60,6 +60,7 @@
         final Set<Class<?>> seen = new HashSet<>();
         final List<ControlAction> actions = new ArrayList<>();
         boolean alive = true;
+        boolean readsLog = true;
         long pausedUntil;
         long leaseNs = Long.MIN_VALUE;
         private long readTo;
@@ -184,7 +185,7 @@
     }
 
     private void read(Node node) {
-        if (logUp && node.alive) {
+        if (logUp && node.alive && node.readsLog) {
             node.readTo = Math.max(node.readTo, firstRetained);
             List<LogEntry> entries = List.copyOf(log.subList((int) Math.min(node.readTo, log.size()), log.size()));
             node.readTo = log.size();
