--- a/node/src/main/java/org/siskintiller/node/backend/BackendClient.java
+++ b/node/src/main/java/org/siskintiller/node/backend/BackendClient.java
@@ -247,6 +247,9 @@
 
     /** Asks the backend server to stop a request. Its answer does not matter. */
     public void cancelAtBackend(RequestId id) {
+        if (threads.isShutdown()) {
+            return;
+        }
         client.sendAsync(
                 HttpRequest.newBuilder(uri("/requests/" + id))
                         .timeout(CONTROL_TIMEOUT)
@@ -262,6 +265,9 @@
                 .header("Content-Type", "application/json")
                 .method(method, json.isEmpty() ? BodyPublishers.noBody() : BodyPublishers.ofString(json))
                 .build();
+        if (threads.isShutdown()) {
+            return CompletableFuture.failedFuture(new IllegalStateException("the companion stops"));
+        }
         return client.sendAsync(request, BodyHandlers.ofString()).thenApply(response -> {
             if (response.statusCode() != 200) {
                 throw new IllegalStateException(method + " " + path + " answered " + response.statusCode());
