Add the load-generating caller

Tests and experiments need open-loop load whose answers are verified. Latency counts from the intended time, each answer must repeat the request's key and tag, and exports must match their digest. The JDK client resent a GET by itself after a broken reused connection (90 sends for 50 requests in the test), so the caller limits it to one attempt.

--- a/standin/src/main/java/org/siskintiller/standin/ServerOptions.java
+++ b/standin/src/main/java/org/siskintiller/standin/ServerOptions.java
@@ -5,6 +5,7 @@
 
 /** Options of each stand-in that listens. */
 public final class ServerOptions {
+    private static final long DEFAULT_SEED = 1;
 
     @Option(
             names = "--host",
@@ -18,14 +19,19 @@
             description = "port to listen on; 0 takes a free one (default ${DEFAULT-VALUE})")
     private int port;
 
-    @Option(names = "--seed", defaultValue = "1", description = "seed of the random choices (default ${DEFAULT-VALUE})")
-    private long seed;
+    @Option(names = "--seed", description = "seed of the random choices (default 1)")
+    private Long seed;
 
     public Address address() {
         return new Address(host, port);
     }
 
     public long seed() {
+        return seed == null ? DEFAULT_SEED : seed;
+    }
+
+    /** Seed of the command line, or null. */
+    public Long seedIfGiven() {
         return seed;
     }
 
--- a/standin/src/main/java/org/siskintiller/standin/StandinMain.java
+++ b/standin/src/main/java/org/siskintiller/standin/StandinMain.java
@@ -4,6 +4,7 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import org.siskintiller.standin.backend.BackendCommand;
+import org.siskintiller.standin.caller.CallerCommand;
 import org.siskintiller.standin.log.LogCommand;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
@@ -17,7 +18,7 @@
         mixinStandardHelpOptions = true,
         versionProvider = StandinMain.Version.class,
         scope = ScopeType.INHERIT,
-        subcommands = {LogCommand.class, BackendCommand.class},
+        subcommands = {LogCommand.class, BackendCommand.class, CallerCommand.class},
         description = "Stand-ins for the platform in tests and the demo.")
 public final class StandinMain {
 
--- /dev/null
+++ b/standin/src/main/java/org/siskintiller/standin/caller/CallerMix.java
@@ -0,0 +1,27 @@
+package org.siskintiller.standin.caller;
+
+import java.util.List;
+
+import org.siskintiller.core.model.Address;
+
+/**
+ * Load that a caller generates.
+ *
+ * @param targets companions that get requests in turn
+ * @param maxInFlight requests beyond this number are counted as skipped and not sent
+ * @param marginMs time that the caller waits for an answer beyond the deadline of the request
+ */
+record CallerMix(
+        List<Address> targets, long durationMs, long seed, int maxInFlight, long marginMs, List<StreamSpec> streams) {
+
+    CallerMix {
+        targets = List.copyOf(targets);
+        streams = List.copyOf(streams);
+        if (targets.isEmpty() || streams.isEmpty()) {
+            throw new IllegalArgumentException("a mix needs at least one target and one [stream NAME] section");
+        }
+        if (durationMs < 1 || maxInFlight < 1 || marginMs < 0) {
+            throw new IllegalArgumentException("duration_ms and max_in_flight must be above 0, margin_ms at least 0");
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/siskintiller/standin/caller/CallerStats.java
@@ -0,0 +1,95 @@
+package org.siskintiller.standin.caller;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.HdrHistogram.Histogram;
+import org.siskintiller.standin.http.HttpBodies;
+
+/** Counts and latencies by rank. */
+final class CallerStats {
+    private static final int SIGNIFICANT_DIGITS = 3;
+    private static final double US_PER_MS = 1_000;
+    private static final double MEDIAN = 50;
+    private static final double P99 = 99;
+
+    private final Map<String, RankStats> ranks = new TreeMap<>();
+    private long mismatched;
+    private long doubled;
+    private long repeated;
+
+    private static final class RankStats {
+        private final Histogram latencyUs = new Histogram(SIGNIFICANT_DIGITS);
+        private final Map<String, Long> refused = new TreeMap<>();
+        private final Map<String, Long> failed = new TreeMap<>();
+        private long count;
+        private long sends;
+        private long skipped;
+    }
+
+    synchronized void arrived(String rank) {
+        rank(rank).count++;
+    }
+
+    synchronized void sent(String rank) {
+        rank(rank).sends++;
+    }
+
+    synchronized void skipped(String rank) {
+        rank(rank).skipped++;
+    }
+
+    synchronized void mismatched() {
+        mismatched++;
+    }
+
+    /** Records that a successful request was sent once more, and whether it ran a second time. */
+    synchronized void repeated(boolean ranAgain) {
+        repeated++;
+        if (ranAgain) {
+            doubled++;
+        }
+    }
+
+    /** Records the last answer of a request. */
+    synchronized void finished(String rank, CallerAnswer answer, long latencyUs) {
+        RankStats stats = rank(rank);
+        if (answer instanceof CallerAnswer.Ok) {
+            stats.latencyUs.recordValue(Math.max(0, latencyUs));
+        } else if (answer instanceof CallerAnswer.Refused refused) {
+            stats.refused.merge(refused.status() + "/" + refused.outcome(), 1L, Long::sum);
+        } else if (answer instanceof CallerAnswer.Failed failed) {
+            stats.failed.merge(failed.reason(), 1L, Long::sum);
+        }
+    }
+
+    synchronized boolean isCorrect() {
+        return mismatched == 0 && doubled == 0;
+    }
+
+    synchronized ObjectNode toJson() {
+        ObjectNode json = HttpBodies.object();
+        ObjectNode byRank = json.putObject("ranks");
+        ranks.forEach((name, stats) -> write(byRank.putObject(name), stats));
+        return json.put("mismatched", mismatched).put("doubled", doubled).put("repeated", repeated);
+    }
+
+    private static void write(ObjectNode json, RankStats stats) {
+        json.put("count", stats.count)
+                .put("sends", stats.sends)
+                .put("skipped", stats.skipped)
+                .put("ok", stats.latencyUs.getTotalCount());
+        ObjectNode refused = json.putObject("refused");
+        stats.refused.forEach(refused::put);
+        ObjectNode failed = json.putObject("failed");
+        stats.failed.forEach(failed::put);
+        json.put("p50Ms", stats.latencyUs.getValueAtPercentile(MEDIAN) / US_PER_MS)
+                .put("p99Ms", stats.latencyUs.getValueAtPercentile(P99) / US_PER_MS)
+                .put("maxMs", stats.latencyUs.getMaxValue() / US_PER_MS);
+    }
+
+    private RankStats rank(String name) {
+        return ranks.computeIfAbsent(name.isEmpty() ? "default" : name, ignored -> new RankStats());
+    }
+}
