--- /dev/null
+++ b/measure/src/main/java/org/siskintiller/measure/random/CompanionProcess.java
@@ -0,0 +1,515 @@
+package org.siskintiller.measure.random;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import org.siskintiller.core.control.ControlAction;
+import org.siskintiller.core.control.ControlEvent;
+import org.siskintiller.core.control.ControlPlane;
+import org.siskintiller.core.gate.DispatchOutcome;
+import org.siskintiller.core.gate.Gate;
+import org.siskintiller.core.gate.GateDecision;
+import org.siskintiller.core.gate.GateEvent;
+import org.siskintiller.core.gate.GateRequest;
+import org.siskintiller.core.invariant.Invariant;
+import org.siskintiller.core.model.Address;
+import org.siskintiller.core.model.BackendServer;
+import org.siskintiller.core.model.Fence;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.model.LogEntry;
+import org.siskintiller.core.model.PeerMessage;
+import org.siskintiller.core.model.RequestId;
+import org.siskintiller.core.model.RequestRecord;
+import org.siskintiller.core.model.Session;
+import org.siskintiller.core.model.SlotId;
+import org.siskintiller.core.model.StateImage.RemovedCustomer;
+import org.siskintiller.core.placement.BalancedPlanner;
+
+/** One companion with its control plane, gate and backend server, driven in virtual time on a clock of its own. */
+final class CompanionProcess {
+    private static final long MS = 1_000_000;
+    private static final long TICK_NS = 50 * MS;
+    private static final long LOG_POLL_NS = 60 * MS;
+    private static final long STORE_TIMEOUT_NS = 50 * MS;
+    private static final long WALL_CLOCK_START_MS = 1_760_000_000_000L;
+    private static final int READ_BATCH = 64;
+    private static final int RECORDS_PER_SNAPSHOT = 300;
+
+    private final RandomRun run;
+    private final int index;
+    private final String service;
+    private final String failureDomain;
+    private final double clockRate;
+    private final Random random;
+    private final FakeBackendServer server;
+    private final Map<RequestId, GateRequest> dispatched = new HashMap<>();
+    private final Set<Long> unansweredStores = new HashSet<>();
+    private Incarnation incarnation;
+    private ControlPlane control;
+    private Gate gate;
+    private int life;
+    private boolean running;
+    private boolean logCut;
+    private boolean serverUp;
+    private long pausedUntilNs;
+    private long nextOffset;
+    private long configVersion;
+    private long highestOffset = -1;
+    private long leaseExpiryNs = Long.MIN_VALUE;
+    private long serverClockNs = Long.MIN_VALUE;
+    private long serverClockReceivedNs;
+
+    CompanionProcess(RandomRun run, int index, String service, String failureDomain, boolean checksFence) {
+        this.run = run;
+        this.index = index;
+        this.service = service;
+        this.failureDomain = failureDomain;
+        this.random = run.random();
+        this.clockRate = 1 + (random.nextDouble() - 0.5) * 0.009;
+        double serverRate = 1 + (random.nextDouble() - 0.5) * 0.009;
+        this.server = new FakeBackendServer(index, checksFence, run.queue(), random, run.checker(), serverRate);
+    }
+
+    int index() {
+        return index;
+    }
+
+    String service() {
+        return service;
+    }
+
+    String failureDomain() {
+        return failureDomain;
+    }
+
+    Incarnation incarnation() {
+        return incarnation;
+    }
+
+    ControlPlane control() {
+        return control;
+    }
+
+    FakeBackendServer server() {
+        return server;
+    }
+
+    boolean isRunning() {
+        return running;
+    }
+
+    boolean isPaused() {
+        return run.queue().nowNs() < pausedUntilNs;
+    }
+
+    boolean holdsLease() {
+        return running && control.holdsLease(localNs());
+    }
+
+    long localNs() {
+        return (long) (run.queue().nowNs() * clockRate) + 1;
+    }
+
+    private long wallMs() {
+        return WALL_CLOCK_START_MS + localNs() / MS;
+    }
+
+    /** Starts a new run of the companion. */
+    void start() {
+        life++;
+        running = true;
+        serverUp = true;
+        pausedUntilNs = 0;
+        open();
+        submit(0, this::tick);
+        submit(0, this::pollLog);
+    }
+
+    /** Begins a new incarnation. The backend server and requests that run there stay. */
+    private void open() {
+        incarnation = new Incarnation(random.nextLong());
+        run.register(this);
+        Address address = new Address("127.0.0.1", 7000 + index);
+        BackendServer announced = new BackendServer(service, address, 12, 110);
+        Session session = new Session(
+                incarnation, "i" + index, failureDomain, address, address, announced, List.of(), 0, -1, false);
+        control = new ControlPlane(session, random.nextLong(), new BalancedPlanner(), RECORDS_PER_SNAPSHOT);
+        gate = new Gate(announced, incarnation);
+        dispatched.clear();
+        unansweredStores.clear();
+        configVersion = 0;
+        nextOffset = 0;
+        leaseExpiryNs = Long.MIN_VALUE;
+        control(new ControlEvent.BackendServerChanged(serverUp));
+    }
+
+    void kill() {
+        running = false;
+        life++;
+        run.counters().add("companion killed");
+    }
+
+    void pause(long durationNs) {
+        pausedUntilNs = run.queue().nowNs() + durationNs;
+    }
+
+    void setLogCut(boolean isCut) {
+        logCut = isCut;
+    }
+
+    void stopGracefully() {
+        submit(0, () -> {
+            gate(new GateEvent.DrainStarted());
+            control(new ControlEvent.StopRequested("operator"));
+        });
+    }
+
+    /** The backend server's process ends. It is back after a while. */
+    void crashServer(long backAfterNs) {
+        server.crash();
+        serverUp = false;
+        run.counters().add("server crashed");
+        submit(MS, () -> {
+            for (RequestId id : List.copyOf(dispatched.keySet())) {
+                finish(id, new DispatchOutcome.Broken("connection reset"));
+            }
+            control(new ControlEvent.BackendServerChanged(false));
+        });
+        int crashedLife = server.life();
+        run.queue().after(backAfterNs, () -> {
+            if (server.life() == crashedLife) {
+                serverUp = true;
+                submit(0, () -> control(new ControlEvent.BackendServerChanged(true)));
+            }
+        });
+    }
+
+    /** Runs a step of this process after a delay, or after its pause. Steps of an earlier life are dropped. */
+    void submit(long delayNs, Runnable step) {
+        int submittedLife = life;
+        run.queue().after(delayNs, () -> execute(submittedLife, step));
+    }
+
+    private void execute(int submittedLife, Runnable step) {
+        if (submittedLife != life || !running) {
+            return;
+        }
+        if (isPaused()) {
+            run.queue().after(pausedUntilNs - run.queue().nowNs(), () -> execute(submittedLife, step));
+            return;
+        }
+        step.run();
+    }
+
+    private void tick() {
+        control(new ControlEvent.Tick());
+        gate(new GateEvent.Tick());
+        run.checkOwners(this);
+        submit(TICK_NS, this::tick);
+    }
+
+    private void pollLog() {
+        List<LogEntry> read = logCut ? null : run.log().readOrNull(nextOffset, READ_BATCH);
+        if (read != null) {
+            boolean atTail = nextOffset + read.size() >= run.log().tail();
+            submit(2 * MS, () -> {
+                nextOffset = Math.max(
+                        nextOffset,
+                        read.isEmpty() ? 0 : read.get(read.size() - 1).offset() + 1);
+                control(new ControlEvent.RecordsRead(read, atTail));
+            });
+        }
+        submit(LOG_POLL_NS, this::pollLog);
+    }
+
+    /** Passes an event to the control plane and carries out its actions. */
+    void control(ControlEvent event) {
+        ControlPlane current = control;
+        for (ControlAction action : current.handle(event, localNs())) {
+            if (control != current || !running) {
+                return;
+            }
+            carryOut(action);
+        }
+    }
+
+    private void carryOut(ControlAction action) {
+        if (action instanceof ControlAction.Send) {
+            ControlAction.Send send = (ControlAction.Send) action;
+            run.send(this, send.to(), send.message());
+        } else if (action instanceof ControlAction.Append) {
+            append((ControlAction.Append) action);
+        } else if (action instanceof ControlAction.LeaseExtended) {
+            leaseExpiryNs = ((ControlAction.LeaseExtended) action).expiryNs();
+            gate(new GateEvent.LeaseExtended(leaseExpiryNs));
+            sendGrants();
+        } else if (action instanceof ControlAction.OpenSlots) {
+            open((ControlAction.OpenSlots) action);
+        } else if (action instanceof ControlAction.CloseSlots) {
+            ControlAction.CloseSlots close = (ControlAction.CloseSlots) action;
+            run.counters().add("slots closed");
+            gate(new GateEvent.SlotsClosing(close.service(), close.slots()));
+        } else if (action instanceof ControlAction.StoreRecords) {
+            ControlAction.StoreRecords store = (ControlAction.StoreRecords) action;
+            gate(new GateEvent.RecordsReceived(store.reset(), store.records()));
+        } else if (action instanceof ControlAction.RecordsReplicated) {
+            stored(((ControlAction.RecordsReplicated) action).sequence());
+        } else if (action instanceof ControlAction.RecordsInLogConfirmed) {
+            gate(new GateEvent.RecordsInLogConfirmed());
+        } else if (action instanceof ControlAction.StateChanged) {
+            stateChanged();
+        } else if (action instanceof ControlAction.QuiesceCustomer) {
+            ControlAction.QuiesceCustomer quiesce = (ControlAction.QuiesceCustomer) action;
+            gate(new GateEvent.CustomerQuiescing(quiesce.customer(), quiesce.removalOffset()));
+        } else if (action instanceof ControlAction.Retire) {
+            run.counters().add("incarnation retired");
+            open();
+        } else if (action instanceof ControlAction.Stopped) {
+            stopped();
+        } else if (action instanceof ControlAction.Report) {
+            run.report(this, (ControlAction.Report) action);
+        }
+    }
+
+    private void stopped() {
+        run.counters().add("planned stop completed");
+        Invariant.GRACEFUL_STOP.check(
+                dispatched.isEmpty(), "companion " + index + " stopped while requests ran: " + dispatched.keySet());
+        running = false;
+        life++;
+    }
+
+    private void append(ControlAction.Append append) {
+        if (logCut) {
+            submit(MS, () -> control(new ControlEvent.AppendUncertain(append.operationId())));
+            return;
+        }
+        run.log()
+                .append(
+                        append.operationId(),
+                        append.record(),
+                        offset -> submit(0, () -> control(new ControlEvent.AppendStored(append.operationId(), offset))),
+                        () -> submit(0, () -> control(new ControlEvent.AppendUncertain(append.operationId()))));
+    }
+
+    private void open(ControlAction.OpenSlots action) {
+        run.counters().add("slots opened");
+        Invariant.CONFIG_NEVER_REVERTS.check(
+                control.state().appliedOffset()
+                        >= control.state().session(incarnation).orElseThrow().openedOffset(),
+                "companion " + index + " opens slots before its own session record");
+        gate(new GateEvent.SlotsOpened(
+                action.service(),
+                action.slots(),
+                action.standby(),
+                action.recordsComplete(),
+                action.readRequestsStream()));
+        sendGrants();
+        run.checkOwners(this);
+    }
+
+    /** Sends the open slots with the lease's end on the server's clock, as PUT /grants does. */
+    private void sendGrants() {
+        if (!server.checksFence()) {
+            return;
+        }
+        Map<SlotId, Fence> slots = new HashMap<>(control.openSlots());
+        long expiry = leaseExpiryNs == Long.MIN_VALUE || serverClockNs == Long.MIN_VALUE
+                ? Long.MIN_VALUE
+                : serverClockNs + (leaseExpiryNs - serverClockReceivedNs) / 100 * 99;
+        int serverLife = server.life();
+        submit((long) (random.nextDouble() * 2 * MS), () -> {
+            if (server.life() != serverLife) {
+                return;
+            }
+            server.grant(slots, expiry);
+            long clock = server.clockNs();
+            submit((long) (random.nextDouble() * 2 * MS), () -> {
+                serverClockNs = clock;
+                serverClockReceivedNs = localNs();
+            });
+        });
+    }
+
+    private void stateChanged() {
+        long applied = control.state().appliedOffset();
+        Invariant.CONFIG_NEVER_REVERTS.check(
+                control.state().configVersion() >= configVersion,
+                "companion " + index + " fell from configuration version " + configVersion);
+        highestOffset = Math.max(highestOffset, applied);
+        if (control.state().configVersion() == configVersion) {
+            return;
+        }
+        configVersion = control.state().configVersion();
+        List<String> removed = new ArrayList<>();
+        for (RemovedCustomer customer : control.state().removedCustomers()) {
+            removed.add(customer.customer());
+        }
+        gate(new GateEvent.ConfigApplied(configVersion, control.state().config(), removed));
+    }
+
+    /** Passes an event to the gate and carries out its decisions. */
+    void gate(GateEvent event) {
+        Gate current = gate;
+        for (GateDecision decision : current.handle(event, localNs(), wallMs())) {
+            if (gate != current || !running) {
+                return;
+            }
+            carryOut(decision);
+        }
+    }
+
+    /** A request arrived, from a caller through an ingress companion. */
+    void arrive(GateRequest request) {
+        dispatched.remove(request.id());
+        run.requests().at(request.id(), this);
+        requests.put(request.id(), request);
+        gate(new GateEvent.Arrived(request));
+    }
+
+    private final Map<RequestId, GateRequest> requests = new HashMap<>();
+
+    private void carryOut(GateDecision decision) {
+        if (decision instanceof GateDecision.Dispatch) {
+            dispatch((GateDecision.Dispatch) decision);
+        } else if (decision instanceof GateDecision.Refuse) {
+            GateDecision.Refuse refuse = (GateDecision.Refuse) decision;
+            requests.remove(refuse.id());
+            run.requests().refused(this, refuse.id(), refuse.refusal().kind());
+        } else if (decision instanceof GateDecision.Replay) {
+            GateDecision.Replay replay = (GateDecision.Replay) decision;
+            requests.remove(replay.id());
+            run.requests().replayed(replay.id());
+        } else if (decision instanceof GateDecision.StoreAtStandby) {
+            storeAtStandby((GateDecision.StoreAtStandby) decision);
+        } else if (decision instanceof GateDecision.StoreInLog) {
+            storeInLog((GateDecision.StoreInLog) decision);
+        } else if (decision instanceof GateDecision.RequestRecordsInLog) {
+            run.counters().add("records in log requested");
+            control(new ControlEvent.RecordsInLogRequested());
+        } else if (decision instanceof GateDecision.ReadRequestsStream) {
+            run.counters().add("requests stream read");
+            readRequests(gate);
+        } else if (decision instanceof GateDecision.SlotsQuiesced) {
+            GateDecision.SlotsQuiesced quiesced = (GateDecision.SlotsQuiesced) decision;
+            control(new ControlEvent.SlotsQuiesced(quiesced.service(), quiesced.slots(), quiesced.records()));
+        } else if (decision instanceof GateDecision.CustomerQuiesced) {
+            GateDecision.CustomerQuiesced quiesced = (GateDecision.CustomerQuiesced) decision;
+            control(new ControlEvent.CustomerQuiesced(quiesced.customer(), quiesced.removalOffset()));
+        }
+    }
+
+    /** The check and the write are separate steps, so that a pause may fall between them. */
+    private void dispatch(GateDecision.Dispatch dispatch) {
+        GateRequest request = requests.get(dispatch.id());
+        dispatched.put(dispatch.id(), request);
+        Gate current = gate;
+        submit((long) (random.nextDouble() * MS), () -> {
+            if (gate != current) {
+                return;
+            }
+            if (!gate.mayDispatch(dispatch.id(), localNs())) {
+                run.counters().add("dispatch denied");
+                finish(dispatch.id(), new DispatchOutcome.NotRun("lease or slot was lost"));
+                return;
+            }
+            // A server that does not check fences has no protection against a pause at this point.
+            long gapNs = server.checksFence() ? (long) (random.nextDouble() * MS) : 0;
+            submit(gapNs, () -> write(dispatch, request, current));
+        });
+    }
+
+    private void write(GateDecision.Dispatch dispatch, GateRequest request, Gate current) {
+        if (!serverUp) {
+            finish(dispatch.id(), new DispatchOutcome.NotRun("connection refused"));
+            return;
+        }
+        run.requests().written(request.id());
+        long remainingNs = Math.max(0, dispatch.deadlineNs() - localNs());
+        server.run(
+                request,
+                dispatch.fence(),
+                remainingNs,
+                outcome -> submit(MS / 5, () -> {
+                    if (gate == current) {
+                        finish(dispatch.id(), outcome);
+                    }
+                }));
+    }
+
+    private void finish(RequestId id, DispatchOutcome outcome) {
+        if (dispatched.remove(id) == null) {
+            return;
+        }
+        requests.remove(id);
+        run.requests().finished(id, outcome);
+        gate(new GateEvent.Finished(id, outcome));
+    }
+
+    private void storeAtStandby(GateDecision.StoreAtStandby store) {
+        unansweredStores.add(store.sequence());
+        run.counters().add("records to standby");
+        run.send(
+                this,
+                store.standby(),
+                new PeerMessage.ReplicateRecords(incarnation, store.sequence(), store.reset(), store.records()));
+        Gate current = gate;
+        submit(STORE_TIMEOUT_NS, () -> {
+            if (gate == current && unansweredStores.remove(store.sequence())) {
+                run.counters().add("records not at standby");
+                gate(new GateEvent.RecordsNotStored(store.sequence()));
+            }
+        });
+    }
+
+    private void stored(long sequence) {
+        if (unansweredStores.remove(sequence)) {
+            gate(new GateEvent.RecordsStored(sequence));
+        }
+    }
+
+    private void storeInLog(GateDecision.StoreInLog store) {
+        run.counters().add("records to log");
+        Gate current = gate;
+        Runnable uncertain = () -> submit(0, () -> {
+            if (gate == current) {
+                gate(new GateEvent.RecordsNotStored(store.sequence()));
+            }
+        });
+        if (logCut) {
+            uncertain.run();
+            return;
+        }
+        run.log()
+                .appendRequests(
+                        store.records(),
+                        () -> submit(0, () -> {
+                            if (gate == current) {
+                                gate(new GateEvent.RecordsStored(store.sequence()));
+                            }
+                        }),
+                        uncertain);
+    }
+
+    private void readRequests(Gate current) {
+        if (gate != current) {
+            return;
+        }
+        List<RequestRecord> records = logCut ? null : run.log().requestsOrNull();
+        if (records == null) {
+            submit(LOG_POLL_NS, () -> readRequests(current));
+            return;
+        }
+        submit(3 * MS, () -> {
+            if (gate == current) {
+                gate(new GateEvent.RecordsReceived(false, records));
+                gate(new GateEvent.RequestsStreamRead());
+            }
+        });
+    }
+}
