Test request records under random schedules

Cause: AT_MOST_ONCE and NOT_RUN_IS_TRUE depend on the interplay of owner, standby and log. Change: RecordWorld drives gates of one slot through seeded crashes, pauses, double losses, moves, and lost, late and doubled store answers, and checks both promises at each run and refusal, and that every request gets one answer.

--- /dev/null
+++ b/core/src/test/java/org/siskintiller/core/gate/AtMostOnceTest.java
@@ -0,0 +1,61 @@
+package org.siskintiller.core.gate;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class AtMostOnceTest {
+    private static final int SEEDS = 40;
+    private static final long DURATION_MS = 15_000;
+
+    /** Guards against a second run and against a false "not-run" under crashes, moves and lost answers. */
+    @Test
+    void holdsUnderRandomSchedules() {
+        Map<String, Integer> counts = new HashMap<>();
+        for (int seed = 0; seed < SEEDS; seed++) {
+            RecordWorld world = new RecordWorld(seed, true);
+            try {
+                world.run(DURATION_MS);
+            } catch (AssertionError e) {
+                throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+            }
+            world.counts.forEach((what, count) -> counts.merge(what, count, Integer::sum));
+        }
+        // The schedules must reach every mechanism, or the checks above show nothing.
+        assertThat(counts.keySet())
+                .containsAtLeast(
+                        "runs",
+                        "replays",
+                        "takeovers after a crash",
+                        "takeovers after a pause",
+                        "new standbys",
+                        "double losses",
+                        "moves",
+                        "stream reads",
+                        "log appends",
+                        "synchronisations",
+                        "copies",
+                        "OUTCOME_UNKNOWN",
+                        "callers gone");
+        assertThat(counts.get("runs")).isGreaterThan(SEEDS * 500);
+    }
+
+    /** Guards against a check that cannot fail: without a second place of records a takeover runs requests again. */
+    @Test
+    void failsWithoutSecondPlace() {
+        int violations = 0;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            try {
+                new RecordWorld(2L * seed, false).run(DURATION_MS);
+            } catch (AssertionError e) {
+                assertWithMessage("seed " + seed).that(e).hasMessageThat().contains("AT_MOST_ONCE");
+                violations++;
+            }
+        }
+        assertThat(violations).isGreaterThan(0);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/siskintiller/core/gate/RecordWorld.java
@@ -0,0 +1,420 @@
+package org.siskintiller.core.gate;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+import org.siskintiller.core.control.ControlAction.OpenSlot;
+import org.siskintiller.core.idempotency.IdempotencyKey;
+import org.siskintiller.core.model.Address;
+import org.siskintiller.core.model.BackendServer;
+import org.siskintiller.core.model.Bytes;
+import org.siskintiller.core.model.Fence;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.model.RequestId;
+import org.siskintiller.core.model.RequestRecord;
+import org.siskintiller.core.model.SlotId;
+import org.siskintiller.core.model.SlotVersion;
+
+/**
+ * Gates of one slot with a seeded schedule of requests, repeats, crashes, pauses, moves, and lost, late and doubled
+ * store answers. Checks the promises on each decision.
+ */
+final class RecordWorld {
+    static final SlotId SLOT = new SlotId("desk", 0);
+
+    private static final BackendServer BACKEND = new BackendServer("desk", new Address("127.0.0.1", 1), 32, 100);
+    private static final long MS = 1_000_000;
+    private static final long LEASE_MS = 1_200;
+    /** Repeats reach back about 3 s, so that many come after a takeover. */
+    private static final int REPEATED_KEYS = 800;
+
+    final Map<String, Integer> counts = new HashMap<>();
+
+    private final Random random;
+    private final boolean storeBeforeDispatch;
+    private final PriorityQueue<Task> tasks = new PriorityQueue<>();
+    private final List<RequestRecord> log = new ArrayList<>();
+    private final List<GateRequest> sent = new ArrayList<>();
+    private final Map<RequestId, GateRequest> requests = new HashMap<>();
+    private final Map<String, Integer> runs = new HashMap<>();
+    private final Set<RequestId> executed = new HashSet<>();
+    private final Set<RequestId> refusedNotRun = new HashSet<>();
+    private final Set<RequestId> answered = new HashSet<>();
+    private final List<Node> nodes = new ArrayList<>();
+    /** One of so many store messages is lost, and one answer late. Without losses the log is hardly used. */
+    private final int lossInverse;
+
+    private long nowMs = 1_000;
+    private long nextId;
+    private Node owner;
+    private Node standby;
+    private long version = 1;
+    private int candidate;
+    private Node moveTo;
+
+    RecordWorld(long seed, boolean storeBeforeDispatch) {
+        this.random = new Random(seed);
+        this.storeBeforeDispatch = storeBeforeDispatch;
+        this.lossInverse = seed % 2 == 0 ? 40 : 2_000;
+        owner = new Node();
+        standby = new Node();
+        open(owner, true, false);
+    }
+
+    /** Runs the schedule, then waits until every request has its answer. */
+    void run(long durationMs) {
+        long endMs = nowMs + durationMs;
+        after(1, () -> request(endMs));
+        after(500, () -> fault(endMs));
+        after(1, () -> tick(endMs + 5_000));
+        while (!tasks.isEmpty()) {
+            Task task = tasks.poll();
+            nowMs = task.atMs;
+            task.action.run();
+        }
+        for (Map.Entry<RequestId, GateRequest> request : requests.entrySet()) {
+            check(answered.contains(request.getKey()), "no answer to " + request);
+        }
+    }
+
+    private void request(long endMs) {
+        if (nowMs >= endMs) {
+            return;
+        }
+        after(1 + random.nextInt(4), () -> request(endMs));
+        GateRequest request;
+        RequestId id = new RequestId(0, ++nextId);
+        long deadlineNs = (nowMs + 20 + random.nextInt(400)) * MS;
+        if (!sent.isEmpty() && random.nextInt(10) < 4) {
+            int newest = sent.size() - 1 - random.nextInt(Math.min(sent.size(), REPEATED_KEYS));
+            request = request(id, sent.get(newest).idempotencyKey(), deadlineNs);
+        } else {
+            long timestampMs = 1_000_000 + nowMs + random.nextInt(2_000) - 1_000;
+            IdempotencyKey key = IdempotencyKey.of(timestampMs, random.nextLong(), random.nextLong());
+            request = request(id, key.text(), deadlineNs);
+            sent.add(request);
+        }
+        Node to = random.nextInt(20) == 0 ? nodes.get(random.nextInt(nodes.size())) : owner;
+        if (to.alive) {
+            to.pendingIds.add(id);
+            requests.put(id, request);
+            deliver(to, new GateEvent.Arrived(request));
+            if (random.nextInt(30) == 0) {
+                after(random.nextInt(20), () -> callerGone(to, id));
+            }
+        }
+    }
+
+    private void callerGone(Node node, RequestId id) {
+        if (!answered.contains(id) && node.alive) {
+            answered.add(id);
+            count("callers gone");
+            deliver(node, new GateEvent.CallerGone(id));
+        }
+    }
+
+    private static GateRequest request(RequestId id, String key, long deadlineNs) {
+        return new GateRequest(
+                id, "desk", SLOT, "c", "r", false, key, false, key.hashCode(), deadlineNs, id.low(), List.of());
+    }
+
+    private void fault(long endMs) {
+        if (nowMs >= endMs) {
+            return;
+        }
+        after(LEASE_MS + 800 + random.nextInt(1_500), () -> fault(endMs));
+        switch (random.nextInt(5)) {
+            case 0:
+                crash(owner);
+                takeOver("takeovers after a crash");
+                break;
+            case 1:
+                owner.renews = false;
+                takeOver("takeovers after a pause");
+                break;
+            case 2:
+                crash(standby);
+                standby = new Node();
+                count("new standbys");
+                after(random.nextInt(300), () -> open(owner, true, false));
+                break;
+            case 3:
+                crash(owner);
+                crash(standby);
+                count("double losses");
+                Node fresh = new Node();
+                boolean known = random.nextBoolean();
+                after(LEASE_MS + 50, () -> {
+                    version++;
+                    candidate = 0;
+                    // The control plane may not know of the loss of records; the gate must notice it.
+                    become(fresh, !known);
+                });
+                break;
+            default:
+                moveTo = new Node();
+                count("moves");
+                deliver(owner, new GateEvent.SlotsClosing("desk", List.of(new SlotVersion(0, version + 1))));
+                break;
+        }
+    }
+
+    private void takeOver(String what) {
+        count(what);
+        Node next = standby;
+        after(LEASE_MS + 50, () -> {
+            candidate++;
+            become(next, true);
+        });
+    }
+
+    private void become(Node next, boolean recordsComplete) {
+        boolean readStream = owner.recordsInLog;
+        owner = next;
+        owner.renews = true;
+        standby = new Node();
+        open(owner, recordsComplete, readStream);
+    }
+
+    private void crash(Node node) {
+        node.alive = false;
+        // The ingress companion sees the broken connection and answers its callers.
+        answered.addAll(node.pendingIds);
+    }
+
+    private void open(Node node, boolean recordsComplete, boolean readStream) {
+        if (!node.alive || node != owner || moveTo != null) {
+            return;
+        }
+        deliver(node, new GateEvent.LeaseExtended((nowMs + LEASE_MS) * MS));
+        deliver(
+                node,
+                new GateEvent.SlotsOpened(
+                        "desk",
+                        List.of(new OpenSlot(0, new Fence(version, candidate))),
+                        standby.id,
+                        recordsComplete,
+                        readStream));
+    }
+
+    private void tick(long endMs) {
+        if (nowMs < endMs) {
+            after(10, () -> tick(endMs));
+        }
+        for (Node node : List.copyOf(nodes)) {
+            if (node.alive && node.renews && nowMs % 400 < 10) {
+                deliver(node, new GateEvent.LeaseExtended((nowMs + LEASE_MS) * MS));
+            }
+            deliver(node, new GateEvent.Tick());
+        }
+        nodes.removeIf(node -> !node.alive && node != owner);
+    }
+
+    private void deliver(Node node, GateEvent event) {
+        if (node.alive) {
+            for (GateDecision decision : node.gate.handle(event, nowMs * MS, 1_000_000 + nowMs + node.skewMs)) {
+                carryOut(node, decision);
+            }
+        }
+    }
+
+    private void carryOut(Node node, GateDecision decision) {
+        if (decision instanceof GateDecision.Dispatch) {
+            after(random.nextInt(5), () -> write(node, ((GateDecision.Dispatch) decision).id()));
+        } else if (decision instanceof GateDecision.Refuse) {
+            refused(node, (GateDecision.Refuse) decision);
+        } else if (decision instanceof GateDecision.Replay) {
+            replayed(node, (GateDecision.Replay) decision);
+        } else if (decision instanceof GateDecision.StoreAtStandby) {
+            storeAtStandby(node, (GateDecision.StoreAtStandby) decision);
+        } else if (decision instanceof GateDecision.StoreInLog) {
+            storeInLog(node, (GateDecision.StoreInLog) decision);
+        } else if (decision instanceof GateDecision.RequestRecordsInLog) {
+            after(5, () -> {
+                node.recordsInLog = node.alive;
+                deliver(node, new GateEvent.RecordsInLogConfirmed());
+            });
+        } else if (decision instanceof GateDecision.ReadRequestsStream) {
+            count("stream reads");
+            after(10 + random.nextInt(300), () -> {
+                deliver(node, new GateEvent.RecordsReceived(false, log));
+                deliver(node, new GateEvent.RequestsStreamRead());
+            });
+        } else if (decision instanceof GateDecision.SlotsQuiesced) {
+            Node next = moveTo;
+            after(2, () -> {
+                moveTo = null;
+                version++;
+                candidate = 0;
+                deliver(next, new GateEvent.RecordsReceived(true, ((GateDecision.SlotsQuiesced) decision).records()));
+                become(next, true);
+            });
+        }
+    }
+
+    private void write(Node node, RequestId id) {
+        if (!node.alive) {
+            return;
+        }
+        if (!node.gate.mayDispatch(id, nowMs * MS)) {
+            deliver(node, new GateEvent.Finished(id, new DispatchOutcome.NotRun("denied")));
+            return;
+        }
+        int kind = random.nextInt(20);
+        if (kind >= 2 || kind == 1 && random.nextBoolean()) {
+            after(random.nextInt(10), () -> execute(id));
+        }
+        Bytes body = Bytes.copyOf(id.toString().getBytes(StandardCharsets.UTF_8));
+        DispatchOutcome outcome = kind == 0
+                ? new DispatchOutcome.NotRun("shed")
+                : kind == 1
+                        ? new DispatchOutcome.Broken("connection reset")
+                        : kind == 2
+                                ? new DispatchOutcome.TimedOut()
+                                : new DispatchOutcome.Answered(200, "text/plain", body, MS);
+        after(10 + random.nextInt(30), () -> {
+            if (kind > 2 && node.alive) {
+                answered.add(id);
+            }
+            deliver(node, new GateEvent.Finished(id, outcome));
+        });
+    }
+
+    private void execute(RequestId id) {
+        executed.add(id);
+        int times = runs.merge(requests.get(id).idempotencyKey(), 1, Integer::sum);
+        check(times == 1, "AT_MOST_ONCE: " + requests.get(id) + " ran " + times + " times");
+        check(!refusedNotRun.contains(id), "NOT_RUN_IS_TRUE: " + id + " ran after its refusal");
+        count("runs");
+    }
+
+    private void refused(Node node, GateDecision.Refuse refuse) {
+        answer(node, refuse.id());
+        count(refuse.refusal().kind().name());
+        if (refuse.refusal().kind().outcome() == RefusalKind.Outcome.NOT_RUN) {
+            refusedNotRun.add(refuse.id());
+            check(!executed.contains(refuse.id()), "NOT_RUN_IS_TRUE: " + refuse + " although it ran");
+        }
+    }
+
+    private void replayed(Node node, GateDecision.Replay replay) {
+        answer(node, replay.id());
+        count("replays");
+        String key = requests.get(replay.id()).idempotencyKey();
+        check(replay.record().idempotencyKey().equals(key), "replay of another key");
+        check(runs.getOrDefault(key, 0) == 1, "replay of a request that did not run: " + replay);
+    }
+
+    private void answer(Node node, RequestId id) {
+        node.pendingIds.remove(id);
+        check(answered.add(id), "second answer to " + id);
+    }
+
+    private void storeAtStandby(Node node, GateDecision.StoreAtStandby store) {
+        count(store.reset() ? "synchronisations" : "copies");
+        Node target = nodes.stream()
+                .filter(each -> each.id.equals(store.standby()))
+                .findFirst()
+                .orElse(null);
+        boolean lost = random.nextInt(lossInverse) == 0;
+        if (target != null && !lost) {
+            // Messages of one connection keep their order.
+            node.lastArrivalMs = Math.max(node.lastArrivalMs, nowMs + random.nextInt(4));
+            long delayMs = node.lastArrivalMs - nowMs;
+            GateEvent received = new GateEvent.RecordsReceived(store.reset(), store.records());
+            boolean lostWithSender = random.nextBoolean();
+            after(delayMs, () -> {
+                if (!node.alive && lostWithSender) {
+                    return;
+                }
+                deliver(target, received);
+                int fate = random.nextInt(lossInverse);
+                if (target.alive && fate > 0) {
+                    long ackMs = fate == 1 ? 60 + random.nextInt(200) : random.nextInt(3);
+                    after(ackMs, () -> deliver(node, new GateEvent.RecordsStored(store.sequence())));
+                    if (fate < lossInverse / 4) {
+                        after(ackMs + 5, () -> deliver(node, new GateEvent.RecordsStored(store.sequence())));
+                        after(ackMs + random.nextInt(500), () -> deliver(target, received));
+                    }
+                    if (fate > 1) {
+                        node.ackedInTime.add(store.sequence());
+                    }
+                }
+            });
+        }
+        after(50, () -> {
+            if (!node.ackedInTime.contains(store.sequence())) {
+                deliver(node, new GateEvent.RecordsNotStored(store.sequence()));
+            }
+        });
+    }
+
+    private void storeInLog(Node node, GateDecision.StoreInLog store) {
+        count("log appends");
+        check(node.recordsInLog, "append before the witnesses knew of it");
+        int fate = random.nextInt(10);
+        if (fate > 0) {
+            // A response may be lost although the append takes effect, even later.
+            boolean lostWithSender = random.nextBoolean();
+            after(fate == 1 ? random.nextInt(500) : random.nextInt(25), () -> {
+                if (node.alive || !lostWithSender) {
+                    log.addAll(store.records());
+                }
+            });
+        }
+        GateEvent answer = fate > 1
+                ? new GateEvent.RecordsStored(store.sequence())
+                : new GateEvent.RecordsNotStored(store.sequence());
+        after(30 + random.nextInt(100), () -> deliver(node, answer));
+    }
+
+    private void after(long delayMs, Runnable action) {
+        tasks.add(new Task(nowMs + delayMs, ++nextTask, action));
+    }
+
+    private long nextTask;
+
+    private void count(String what) {
+        counts.merge(what, 1, Integer::sum);
+    }
+
+    private static void check(boolean condition, String detail) {
+        if (!condition) {
+            throw new AssertionError(detail);
+        }
+    }
+
+    /** Companion with its gate. */
+    private final class Node {
+        private final Incarnation id = new Incarnation(random.nextLong());
+        private final Gate gate = new Gate(BACKEND, id, storeBeforeDispatch);
+        private final long skewMs = random.nextInt(4_000) - 2_000;
+        private final Set<RequestId> pendingIds = new HashSet<>();
+        private final Set<Long> ackedInTime = new HashSet<>();
+        private long lastArrivalMs;
+        private boolean alive = true;
+        private boolean renews = true;
+        private boolean recordsInLog;
+
+        Node() {
+            nodes.add(this);
+        }
+    }
+
+    /** Action at a virtual time. */
+    private record Task(long atMs, long sequence, Runnable action) implements Comparable<Task> {
+
+        @Override
+        public int compareTo(Task other) {
+            int byTime = Long.compare(atMs, other.atMs);
+            return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+        }
+    }
+}
