--- a/node/src/main/java/org/siskintiller/node/runtime/BodyPrefix.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/BodyPrefix.java
@@ -15,6 +15,9 @@
     private static final int MAX_BYTES = 4096;
     private static final LongHashFunction HASH = LongHashFunction.xx3();
 
+    /** Prefix of a request without a body. */
+    static final BodyPrefix EMPTY = new BodyPrefix(new byte[0], true, InputStream.nullInputStream());
+
     private final byte[] bytes;
     private final boolean whole;
     private final InputStream rest;
@@ -27,7 +30,7 @@
 
     static BodyPrefix read(RequestHead head, InputStream body) throws IOException {
         if (!head.hasBody()) {
-            return new BodyPrefix(new byte[0], true, InputStream.nullInputStream());
+            return EMPTY;
         }
         byte[] bytes = body.readNBytes(MAX_BYTES + 1);
         return new BodyPrefix(bytes, bytes.length <= MAX_BYTES, body);
--- a/node/src/main/java/org/siskintiller/node/runtime/CompanionRuntime.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/CompanionRuntime.java
@@ -70,7 +70,7 @@
                 settings.limits().maxBodyBytes(),
                 settings.limits().maxCallers());
         peerAddress = transport.bind(settings.peer());
-        RemoteCall remote = new RemoteCall(transport, pumps, this::reported);
+        RemoteCall remote = new RemoteCall(transport, pumps);
         Ingress ingress = new Ingress(this::generation, remote, directory, settings.limits(), metrics);
         callers = new CallerServer(
                 settings.http(),
@@ -150,13 +150,6 @@
         EventLog.log(LogEvent.PEER_UNREACHABLE, to.toString());
     }
 
-    private void reported(Proto.ResponseHead head) {
-        Generation own = generation;
-        if (own != null && head.getSuspicionsCount() > 0) {
-            own.gate().submit(new GateEvent.SuspicionsReceived(RemoteCall.fromProto(head.getSuspicionsList())));
-        }
-    }
-
     @Override
     public Incarnation incarnation() {
         Generation own = generation;
--- a/node/src/main/java/org/siskintiller/node/runtime/GateDriver.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/GateDriver.java
@@ -1,6 +1,7 @@
 package org.siskintiller.node.runtime;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -17,6 +18,7 @@
 import org.siskintiller.core.gate.GateEvent;
 import org.siskintiller.core.gate.GateStats;
 import org.siskintiller.core.gate.RefusalKind;
+import org.siskintiller.core.gate.Suspicion;
 import org.siskintiller.core.model.RequestId;
 import org.siskintiller.node.backend.BackendCall;
 import org.siskintiller.node.backend.BackendClient;
@@ -65,6 +67,16 @@
         }
     }
 
+    /** Suspicion of a request with this fingerprint, for other companions. */
+    List<Suspicion> suspicions(long fingerprint) {
+        lock.lock();
+        try {
+            return gate.suspicion(fingerprint, Clock.nowNs()).map(List::of).orElse(List.of());
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Requests that wait or run. */
     int inFlight() {
         return pending.size();
--- a/node/src/main/java/org/siskintiller/node/runtime/Generation.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/Generation.java
@@ -14,10 +14,11 @@
 import org.siskintiller.core.gate.GateDecision;
 import org.siskintiller.core.gate.GateEvent;
 import org.siskintiller.core.gate.GateStats;
+import org.siskintiller.core.gate.Suspicion;
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.model.Session;
 import org.siskintiller.core.model.SlotVersion;
-import org.siskintiller.core.placement.SpreadPlanner;
+import org.siskintiller.core.placement.BalancedPlanner;
 import org.siskintiller.logclient.LogClient;
 import org.siskintiller.node.backend.BackendClient;
 import org.siskintiller.node.backend.Grants;
@@ -32,6 +33,8 @@
     private static final long GATE_TICK_MS = 10;
     private static final long LOAD_POLL_MS = 500;
     private static final long LOAD_REPORT_MS = 2000;
+    /** Counting the gate's queues for every response would cost more than the request. */
+    private static final long LOAD_REPORT_LIFETIME_NS = 50_000_000L;
 
     private final Session session;
     private final ControlDriver control;
@@ -47,6 +50,7 @@
     private final ControlAppender appender;
     private final LoadPoller poller;
     private final ControlActions actions;
+    private volatile LoadReport lastReport;
 
     Generation(Session session, LogClient log, BackendClient backend, PeerSender peers, GenerationOwner owner) {
         this.session = session;
@@ -54,7 +58,7 @@
         load = new LoadMeter(service, Clock.nowNs());
         grants = new Grants(backend, session.incarnation(), Clock::nowNs);
         control = new ControlDriver(
-                new ControlPlane(session, Ids.seed(), new SpreadPlanner()), this::carryOut, owner::failed);
+                new ControlPlane(session, Ids.seed(), new BalancedPlanner()), this::carryOut, owner::failed);
         GateActions gateActions = new GateActions(this, peers, owner);
         gate = new GateDriver(new Gate(session.backendServer(), session.incarnation()), gateActions, backend, cancels);
         slots = new SlotGate(gate, grants, () -> control.state());
@@ -93,15 +97,30 @@
         return gate.serve(request);
     }
 
-    /** Head of a response with what other companions learn from it. */
-    Proto.ResponseHead.Builder report() {
+    /** Head of a response to a request with this fingerprint, with what other companions learn from it. */
+    Proto.ResponseHead.Builder report(long fingerprint) {
+        Proto.ResponseHead.Builder head = loadReport().toBuilder();
+        for (Suspicion suspicion : gate.suspicions(fingerprint)) {
+            head.addSuspicions(RemoteCall.toProto(suspicion));
+        }
+        return head;
+    }
+
+    private Proto.ResponseHead loadReport() {
+        LoadReport cached = lastReport;
+        long nowNs = Clock.nowNs();
+        if (cached != null && nowNs - cached.takenNs() < LOAD_REPORT_LIFETIME_NS) {
+            return cached.head();
+        }
         GateStats stats = gate.stats();
         Proto.ResponseHead.Builder head = Proto.ResponseHead.newBuilder();
         for (GateStats.RankStats rank : stats.ranks()) {
             head.addRankShares(
                     Proto.RankShare.newBuilder().setRank(rank.rank()).setAdmittedShare(rank.admittedShare()));
         }
-        return head.setLoad((double) stats.inFlight() / Math.max(1, stats.limit()));
+        head.setLoad((double) stats.inFlight() / Math.max(1, stats.limit()));
+        lastReport = new LoadReport(head.build(), nowNs);
+        return lastReport.head();
     }
 
     Incarnation incarnation() {
@@ -147,7 +166,7 @@
             numbers.add(slot.slot());
         }
         slots.closed(numbers);
-        control.submit(new ControlEvent.SlotsQuiesced(quiesced.service(), quiesced.slots()));
+        control.submit(new ControlEvent.SlotsQuiesced(quiesced.service(), quiesced.slots(), quiesced.records()));
     }
 
     /** Refuses everything that waits; requests that run at the backend server go on. */
@@ -174,4 +193,7 @@
             cancels.shutdown();
         }
     }
+
+    /** Load of the gate, shared by the responses of a short time. */
+    private record LoadReport(Proto.ResponseHead head, long takenNs) {}
 }
--- a/node/src/main/java/org/siskintiller/node/runtime/Ingress.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/Ingress.java
@@ -1,53 +1,41 @@
 package org.siskintiller.node.runtime;
 
 import java.io.IOException;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import org.siskintiller.config.CompanionSettings.Limits;
 import org.siskintiller.core.gate.GateRequest;
+import org.siskintiller.core.gate.RefusalKind;
 import org.siskintiller.core.gate.RefusalKind.Outcome;
 import org.siskintiller.core.model.ClusterConfig;
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.model.PresetConfig;
 import org.siskintiller.core.model.RankLimits;
 import org.siskintiller.core.model.ServiceConfig;
-import org.siskintiller.core.model.Session;
 import org.siskintiller.core.model.SlotId;
-import org.siskintiller.core.ownership.KeyHash;
 import org.siskintiller.core.replay.ClusterState;
+import org.siskintiller.core.retry.FailedAttempt;
+import org.siskintiller.core.retry.RetryDecision;
+import org.siskintiller.core.routing.IngressRequest;
+import org.siskintiller.core.routing.RouteDecision;
 import org.siskintiller.node.request.InboundRequest;
 import org.siskintiller.node.request.Problem;
 import org.siskintiller.node.request.RequestHandler;
 import org.siskintiller.node.request.RequestHead;
 
-/** Serves callers: finds the owner, passes the request on, and retries where that is allowed. */
+/** Serves callers: routes a request, passes it on, and repeats it where the retry policy allows. */
 final class Ingress implements RequestHandler {
-    private static final long FIRST_BACKOFF_MS = 10;
-    private static final long MAX_BACKOFF_MS = 100;
-    private static final Set<String> RETRIED = Set.of(
-            "not-owner",
-            "no-lease",
-            "draining",
-            "backend-refused",
-            "backend-failed",
-            "owner-unknown",
-            "owner-unreachable",
-            "answer-lost");
-
     private final Supplier<Optional<Generation>> generation;
     private final RemoteCall remote;
     private final PeerDirectory directory;
     private final Limits limits;
     private final NodeMetrics metrics;
-    private final Suspects suspects = new Suspects();
-    private final Targets targets = new Targets(suspects);
-    private final RetryTokens retries = new RetryTokens();
+    private final PeerBoard board = new PeerBoard();
+    private final Routing routing = new Routing(board, Ids.seed());
 
     Ingress(
             Supplier<Optional<Generation>> generation,
@@ -70,159 +58,182 @@
             refuse(inbound, Problem.notRun(503, "starting", "the companion has no session yet", "retry later"));
             return;
         }
-        ClusterState state = current.get().control().state();
-        Optional<Problem> problem = check(state, inbound.head());
-        if (problem.isPresent()) {
-            refuse(inbound, problem.get());
+        ClusterConfig config = current.get().control().state().config();
+        RequestHead head = inbound.head();
+        Optional<ServiceConfig> service = config.service(head.service());
+        if (head.rank() != null && config.rank(head.rank()).isEmpty()) {
+            refuse(inbound, Problem.notRun(400, "unknown-rank", "no such rank", "use a published rank name"));
             return;
         }
-        ServiceConfig service = state.config().service(inbound.head().service()).orElseThrow();
-        RequestHead head = inbound.head();
-        if (!service.idempotent() && head.idempotencyKey() == null) {
+        boolean needsKey = service.isPresent() && !service.get().idempotent() && head.idempotencyKey() == null;
+        if (needsKey) {
             head = head.withIdempotencyKey(Ids.uuidVersion7(Clock.wallMs()), true);
         }
         BodyPrefix prefix;
         try {
-            prefix = BodyPrefix.read(head, inbound.body());
+            prefix = service.isPresent() ? BodyPrefix.read(head, inbound.body()) : BodyPrefix.EMPTY;
         } catch (IOException e) {
-            refuse(inbound, Problem.notRun(400, "body-cut", "the body ended early", "send the whole body"));
+            refuse(inbound, Problem.notRun(400, "body-cut", e.getMessage(), "send the whole body within the limits"));
             return;
         }
-        GateRequest gate = gateRequest(state, service, head, prefix, startNs);
-        attempts(inbound, head, gate, prefix);
-        metrics.served(gate.rank(), Clock.nowNs() - startNs);
-    }
-
-    private static Optional<Problem> check(ClusterState state, RequestHead head) {
-        Optional<ServiceConfig> service = state.config().service(head.service());
-        if (service.isEmpty()) {
-            return Optional.of(Problem.notRun(
-                    404, "unknown-service", "no service " + head.service(), "use a published service name"));
-        }
-        if (state.removedCustomer(head.customer()).isPresent()) {
-            return Optional.of(Problem.notRun(
-                    403,
-                    "customer-removed",
-                    "the customer was removed",
-                    "the customer was removed; ask the operators"));
-        }
-        if (service.get().keyed() && head.key() == null) {
-            return Optional.of(
-                    Problem.notRun(400, "key-missing", "the service needs a key", "send the header Siskin-Key"));
-        }
-        if (head.rank() != null && state.config().rank(head.rank()).isEmpty()) {
-            return Optional.of(Problem.notRun(400, "unknown-rank", "no such rank", "use a published rank name"));
-        }
-        return Optional.empty();
-    }
-
-    private GateRequest gateRequest(
-            ClusterState state, ServiceConfig service, RequestHead head, BodyPrefix prefix, long startNs) {
-        String rank = head.rank() == null ? service.defaultRank() : head.rank();
-        long deadlineMs = head.deadlineMs() > 0 ? head.deadlineMs() : defaultDeadlineMs(state.config(), rank);
-        long digest = prefix.digest(head);
-        return new GateRequest(
-                head.id(),
-                head.service(),
-                slotOf(state, service, head),
-                head.customer(),
+        String rank = head.rank() != null
+                ? head.rank()
+                : service.map(ServiceConfig::defaultRank).orElse("");
+        long deadlineNs = startNs + TimeUnit.MILLISECONDS.toNanos(deadlineMs(config, head, rank));
+        attempts(new Call(
+                inbound,
+                head,
+                prefix,
                 rank,
-                service.idempotent(),
-                head.idempotencyKey(),
-                head.generatedKey(),
-                digest,
-                startNs + TimeUnit.MILLISECONDS.toNanos(Math.min(deadlineMs, limits.requestTimeoutMs())),
-                digest,
-                List.of());
+                service.map(ServiceConfig::idempotent).orElse(false),
+                deadlineNs));
+        metrics.served(rank, Clock.nowNs() - startNs);
     }
 
-    private long defaultDeadlineMs(ClusterConfig config, String rank) {
-        for (RankLimits rankLimits :
-                config.preset(config.activePreset()).map(PresetConfig::ranks).orElse(List.of())) {
-            if (rankLimits.rank().equals(rank) && rankLimits.deadlineMs() > 0) {
-                return rankLimits.deadlineMs();
+    private long deadlineMs(ClusterConfig config, RequestHead head, String rank) {
+        long deadlineMs = head.deadlineMs() > 0 ? head.deadlineMs() : limits.requestTimeoutMs();
+        if (head.deadlineMs() == 0) {
+            for (RankLimits rankLimits : config.preset(config.activePreset())
+                    .map(PresetConfig::ranks)
+                    .orElse(List.of())) {
+                if (rankLimits.rank().equals(rank) && rankLimits.deadlineMs() > 0) {
+                    deadlineMs = rankLimits.deadlineMs();
+                }
             }
         }
-        return limits.requestTimeoutMs();
+        return Math.min(deadlineMs, limits.requestTimeoutMs());
     }
 
-    /** Returns the slot of a key or idempotency key, or null for a request that any backend server may run. */
-    static SlotId slotOf(ClusterState state, ServiceConfig service, RequestHead head) {
-        int slots = state.slotCount(service.name());
-        String key = service.keyed() ? head.key() : service.idempotent() ? null : head.idempotencyKey();
-        return key == null || slots == 0
-                ? null
-                : new SlotId(service.name(), KeyHash.slotOf(service.name(), key, slots));
-    }
-
-    private void attempts(InboundRequest inbound, RequestHead head, GateRequest gate, BodyPrefix prefix)
-            throws IOException {
-        Set<Incarnation> avoid = new HashSet<>();
-        long backoffMs = FIRST_BACKOFF_MS;
-        while (true) {
-            Attempt attempt = attempt(inbound, head, gate, prefix, avoid);
-            if (attempt instanceof Attempt.Done) {
-                retries.succeeded();
+    private void attempts(Call call) throws IOException {
+        Set<Incarnation> excluded = Set.of();
+        Problem doubtful = null;
+        for (int number = 1; ; number++) {
+            Sent sent = attempt(call, excluded);
+            if (sent.attempt() instanceof Attempt.Done) {
                 return;
             }
-            Problem problem = ((Attempt.Failed) attempt).problem();
-            long pauseMs = backoffMs / 2 + ThreadLocalRandom.current().nextLong(backoffMs);
-            boolean inTime = Clock.nowNs() + TimeUnit.MILLISECONDS.toNanos(pauseMs) < gate.deadlineNs();
-            if (!mayRetry(problem, gate, prefix) || !inTime || !retries.take()) {
-                refuse(inbound, problem);
+            Problem problem = ((Attempt.Failed) sent.attempt()).problem();
+            if (doubtful == null && problem.outcome() != Outcome.NOT_RUN) {
+                doubtful = problem;
+            }
+            RetryDecision decision = retry(call, sent, problem, number, excluded);
+            if (!(decision instanceof RetryDecision.Retry)) {
+                // An earlier attempt that may have run must not be answered with the refusal of a later one.
+                refuse(call.inbound(), doubtful == null ? problem : doubtful);
                 return;
             }
             metrics.retried();
-            backoffMs = Math.min(MAX_BACKOFF_MS, 2 * backoffMs);
-            pause(pauseMs);
+            excluded = ((RetryDecision.Retry) decision).excluded();
+            pause(((RetryDecision.Retry) decision).delayNs());
         }
     }
 
-    private static boolean mayRetry(Problem problem, GateRequest gate, BodyPrefix prefix) {
-        return prefix.repeatable()
-                && RETRIED.contains(problem.type())
-                && (problem.outcome() == Outcome.NOT_RUN || gate.idempotent());
+    private RetryDecision retry(Call call, Sent sent, Problem problem, int number, Set<Incarnation> excluded) {
+        Optional<RefusalKind> kind = Routing.kindOf(problem.type());
+        if (kind.isEmpty() || !call.prefix().repeatable()) {
+            return new RetryDecision.GiveUp(RetryDecision.Reason.FINAL);
+        }
+        if (problem.outcome() != Outcome.NOT_RUN && !call.idempotent()) {
+            return new RetryDecision.GiveUp(RetryDecision.Reason.MAY_HAVE_RUN);
+        }
+        return routing.retry(new FailedAttempt(
+                call.idempotent(),
+                kind.get(),
+                problem.retryAfterMs(),
+                number,
+                sent.target(),
+                excluded,
+                call.deadlineNs()));
     }
 
-    private Attempt attempt(
-            InboundRequest inbound, RequestHead head, GateRequest gate, BodyPrefix prefix, Set<Incarnation> avoid)
-            throws IOException {
+    private Sent attempt(Call call, Set<Incarnation> excluded) throws IOException {
         Generation own = generation.get().orElse(null);
         if (own == null) {
-            return new Attempt.Failed(Problem.notRun(503, "no-lease", "the companion restarts", "retry"), false);
+            return new Sent(null, failed(RefusalKind.NO_LEASE, "the companion restarts"));
+        }
+        ClusterState state = own.control().state();
+        long digest = call.prefix().digest(call.head());
+        RouteDecision decision = routing.route(
+                new IngressRequest(
+                        call.head().service(),
+                        call.head().key(),
+                        call.head().idempotencyKey(),
+                        call.head().customer(),
+                        call.rank(),
+                        call.deadlineNs(),
+                        digest,
+                        excluded),
+                state,
+                own.incarnation());
+        if (decision instanceof RouteDecision.Refused refused) {
+            return new Sent(null, new Attempt.Failed(Problem.of(refused.refusal()), false));
         }
-        Optional<Session> target = targets.choose(own.control().state(), gate.service(), gate.slot(), avoid);
-        if (target.isEmpty()) {
-            return new Attempt.Failed(
-                    Problem.notRun(503, "owner-unknown", "no companion serves this key now", "retry"), false);
+        if (decision instanceof RouteDecision.Local local) {
+            return send(call, own, state, own.incarnation(), gateRequest(call, local.slot(), digest));
         }
-        Incarnation incarnation = target.get().incarnation();
-        GatedRequest request = new GatedRequest(head, gate, prefix.body(), inbound.sink());
-        targets.started(incarnation);
+        RouteDecision.Remote there = (RouteDecision.Remote) decision;
+        return send(call, own, state, there.target(), gateRequest(call, there.slot(), digest));
+    }
+
+    private Sent send(Call call, Generation own, ClusterState state, Incarnation target, GateRequest gate)
+            throws IOException {
+        GatedRequest request = new GatedRequest(
+                call.head(), gate, call.prefix().body(), call.inbound().sink());
+        board.started(target);
         try {
-            Attempt attempt = incarnation.equals(own.incarnation())
-                    ? own.serve(request)
-                    : remote.call(request, directory.tcp(target.get()));
-            remember(attempt, incarnation, avoid);
-            return attempt;
+            Attempt attempt = target.equals(own.incarnation())
+                    ? local(own, request)
+                    : remote.call(
+                            request,
+                            directory.tcp(state.session(target).orElseThrow()),
+                            head -> routing.reported(target, head));
+            remember(attempt, target, state);
+            return new Sent(target, attempt);
         } finally {
-            targets.ended(incarnation);
+            board.ended(target);
+        }
+    }
+
+    private Attempt local(Generation own, GatedRequest request) throws IOException {
+        Attempt attempt = own.serve(request);
+        if (attempt instanceof Attempt.Failed) {
+            routing.suspicionsReceived(own.gate().suspicions(request.gate().fingerprint()));
         }
+        return attempt;
     }
 
-    /** Keeps the next attempt away from a companion that failed; one that only is not the owner yet stays usable. */
-    private void remember(Attempt attempt, Incarnation incarnation, Set<Incarnation> avoid) {
-        if (!(attempt instanceof Attempt.Failed failed)) {
-            suspects.clear(incarnation);
+    private void remember(Attempt attempt, Incarnation target, ClusterState state) {
+        if (attempt instanceof Attempt.Failed failed && failed.unreachable()) {
+            board.suspect(target);
             return;
         }
-        avoid.clear();
-        avoid.add(incarnation);
-        if (failed.unreachable()) {
-            suspects.mark(incarnation, Clock.nowNs());
+        board.answered(target);
+        if (attempt instanceof Attempt.Done done && done.complete()) {
+            routing.succeeded(state);
         }
     }
 
+    private GateRequest gateRequest(Call call, SlotId slot, long digest) {
+        return new GateRequest(
+                call.head().id(),
+                call.head().service(),
+                slot,
+                call.head().customer(),
+                call.rank(),
+                call.idempotent(),
+                call.head().idempotencyKey(),
+                call.head().generatedKey(),
+                digest,
+                call.deadlineNs(),
+                digest,
+                routing.suspicions(digest));
+    }
+
+    private static Attempt failed(RefusalKind kind, String detail) {
+        return new Attempt.Failed(
+                Problem.of(new org.siskintiller.core.gate.GateDecision.Refusal(kind, detail, 0)), false);
+    }
+
     private void refuse(InboundRequest inbound, Problem problem) throws IOException {
         metrics.refused(problem.type());
         if (!inbound.sink().started()) {
@@ -230,12 +241,24 @@
         }
     }
 
-    private static void pause(long ms) throws IOException {
+    private static void pause(long ns) throws IOException {
         try {
-            Thread.sleep(ms);
+            TimeUnit.NANOSECONDS.sleep(ns);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("the companion stops", e);
         }
     }
+
+    /** One request of a caller over all its attempts. */
+    private record Call(
+            InboundRequest inbound,
+            RequestHead head,
+            BodyPrefix prefix,
+            String rank,
+            boolean idempotent,
+            long deadlineNs) {}
+
+    /** One attempt with the companion that it went to, or null if it was not sent. */
+    private record Sent(Incarnation target, Attempt attempt) {}
 }
--- a/node/src/main/java/org/siskintiller/node/runtime/PeerRequests.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/PeerRequests.java
@@ -119,7 +119,7 @@
                 head,
                 gate,
                 new LimitedInputStream(stream.incoming(), maxBodyBytes, length),
-                new PeerSink(stream, own::report));
+                new PeerSink(stream, () -> own.report(frame.getFingerprint())));
     }
 
     @Override
--- a/node/src/main/java/org/siskintiller/node/runtime/RemoteCall.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/RemoteCall.java
@@ -31,27 +31,34 @@
 
 /** Serves a request through the companion beside the owner. */
 final class RemoteCall {
+    /** Type of the problem when the request did not reach the companion. */
+    static final String UNREACHABLE = "owner-unreachable";
+    /** Type of the problem when the request may have run and its answer is missing. */
+    static final String ANSWER_LOST = "answer-lost";
+
     private static final int MAX_PROBLEM_BYTES = 16 * 1024;
     /** The gate there answers at the deadline; this much later the answer is given up. */
     private static final long GRACE_NS = TimeUnit.MILLISECONDS.toNanos(250);
 
     private final PeerTransport transport;
     private final Executor pumps;
-    private final Consumer<Proto.ResponseHead> reports;
 
     /**
      * Creates the caller side.
      *
      * @param pumps threads that send bodies
-     * @param reports receives the heads of responses with their admitted shares, load and suspicions
      */
-    RemoteCall(PeerTransport transport, Executor pumps, Consumer<Proto.ResponseHead> reports) {
+    RemoteCall(PeerTransport transport, Executor pumps) {
         this.transport = transport;
         this.pumps = pumps;
-        this.reports = reports;
     }
 
-    Attempt call(GatedRequest request, Address to) {
+    /**
+     * Sends the request and passes the answer on.
+     *
+     * @param reports receives the head of the response with admitted shares, load and suspicions
+     */
+    Attempt call(GatedRequest request, Address to, Consumer<Proto.ResponseHead> reports) {
         PeerStream stream;
         try {
             stream = transport.open(to, requestHead(request));
@@ -157,7 +164,7 @@
         return new Attempt.Failed(
                 new Problem(
                         notRun ? 503 : 502,
-                        notRun ? "owner-unreachable" : "answer-lost",
+                        notRun ? UNREACHABLE : ANSWER_LOST,
                         String.valueOf(cause.getMessage()),
                         cause.outcome(),
                         notRun ? "retry" : "repeat with the same Idempotency-Key, or if the request is idempotent",
--- /dev/null
+++ b/node/src/main/java/org/siskintiller/node/runtime/Routing.java
@@ -0,0 +1,155 @@
+package org.siskintiller.node.runtime;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import org.siskintiller.core.balance.PowerOfTwoChoices;
+import org.siskintiller.core.gate.RefusalKind;
+import org.siskintiller.core.gate.Suspicion;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.model.PresetConfig;
+import org.siskintiller.core.model.ServiceConfig;
+import org.siskintiller.core.model.SlotId;
+import org.siskintiller.core.ownership.KeyHash;
+import org.siskintiller.core.quarantine.Quarantine;
+import org.siskintiller.core.replay.ClusterState;
+import org.siskintiller.core.retry.FailedAttempt;
+import org.siskintiller.core.retry.RetryBudget;
+import org.siskintiller.core.retry.RetryDecision;
+import org.siskintiller.core.retry.RetryPolicy;
+import org.siskintiller.core.routing.FloodLimit;
+import org.siskintiller.core.routing.IngressRequest;
+import org.siskintiller.core.routing.RouteDecision;
+import org.siskintiller.core.routing.Router;
+import org.siskintiller.core.routing.RoutingTools;
+import org.siskintiller.core.routing.RoutingView;
+import org.siskintiller.core.routing.ServiceView;
+import org.siskintiller.wire.proto.Proto;
+
+/**
+ * Router, retry policy and quarantine of the ingress under one lock. The view holds only what one request needs, so a
+ * change of the state costs nothing until a request asks.
+ */
+final class Routing {
+    private static final int DEFAULT_RETRY_PERCENT = 10;
+
+    private final PeerBoard board;
+    private final Quarantine quarantine = new Quarantine();
+    private final FloodLimit floodLimit = new FloodLimit();
+    private final RetryBudget budget = new RetryBudget(DEFAULT_RETRY_PERCENT);
+    private final RetryPolicy policy;
+    private final Router router;
+
+    Routing(PeerBoard board, long seed) {
+        this.board = board;
+        SplittableRandom random = new SplittableRandom(seed);
+        policy = new RetryPolicy(budget, random);
+        router = new Router(new RoutingTools(KeyHash::slotOf, new PowerOfTwoChoices(), random, quarantine, floodLimit));
+    }
+
+    RouteDecision route(IngressRequest request, ClusterState state, Incarnation self) {
+        RoutingView view = view(request, state, self);
+        synchronized (this) {
+            return router.route(request, view, Clock.nowNs());
+        }
+    }
+
+    private RoutingView view(IngressRequest request, ClusterState state, Incarnation self) {
+        Set<String> removed =
+                state.removedCustomer(request.customer()).isPresent() ? Set.of(request.customer()) : Set.of();
+        Optional<ServiceConfig> config = state.config().service(request.service());
+        if (config.isEmpty()) {
+            return new RoutingView(self, Map.of(), removed);
+        }
+        SlotId slot = slotOf(config.get(), request.key(), request.idempotencyKey());
+        Map<Integer, Incarnation> owners = Map.of();
+        if (slot != null) {
+            owners = owner(state, slot, request.excluded())
+                    .map(owner -> Map.of(slot.slot(), owner))
+                    .orElse(Map.of());
+        }
+        ServiceView service = new ServiceView(
+                config.get(), owners, Map.of(), slot == null ? board.candidates(state, request.service()) : List.of());
+        return new RoutingView(self, Map.of(request.service(), service), removed);
+    }
+
+    /**
+     * Returns the candidate to ask first. While the log is down a takeover is not recorded there, so a candidate that
+     * does not answer is passed over; the next one refuses as long as it is not the owner.
+     */
+    private Optional<Incarnation> owner(ClusterState state, SlotId slot, Set<Incarnation> excluded) {
+        Incarnation fallback = null;
+        for (Incarnation candidate :
+                state.assignment(slot.service(), slot.slot()).candidates()) {
+            if (!state.isOpen(candidate) || excluded.contains(candidate)) {
+                continue;
+            }
+            if (!board.isSuspect(candidate)) {
+                return Optional.of(candidate);
+            }
+            fallback = fallback == null ? candidate : fallback;
+        }
+        return Optional.ofNullable(fallback);
+    }
+
+    private static SlotId slotOf(ServiceConfig service, String key, String idempotencyKey) {
+        String hashed = service.keyed() ? key : service.idempotent() ? null : idempotencyKey;
+        return hashed == null
+                ? null
+                : new SlotId(service.name(), KeyHash.slotOf(service.name(), hashed, service.slots()));
+    }
+
+    synchronized RetryDecision retry(FailedAttempt attempt) {
+        return policy.decide(attempt, Clock.nowNs());
+    }
+
+    synchronized void succeeded(ClusterState state) {
+        state.config()
+                .preset(state.config().activePreset())
+                .map(PresetConfig::retryBudgetPercent)
+                .ifPresent(budget::setPercent);
+        budget.succeeded();
+    }
+
+    /** Suspicions that travel with the request. */
+    synchronized List<Suspicion> suspicions(long fingerprint) {
+        return quarantine.suspicion(fingerprint, Clock.nowNs()).map(List::of).orElse(List.of());
+    }
+
+    synchronized void suspicionsReceived(List<Suspicion> suspicions) {
+        quarantine.received(suspicions, Clock.nowNs());
+    }
+
+    /** Notes what the owner's companion reported with a response. */
+    void reported(Incarnation from, Proto.ResponseHead head) {
+        board.reported(from, head.getLoad());
+        synchronized (this) {
+            for (Proto.RankShare share : head.getRankSharesList()) {
+                floodLimit.reported(from, share.getRank(), share.getAdmittedShare(), Clock.nowNs());
+            }
+            quarantine.received(RemoteCall.fromProto(head.getSuspicionsList()), Clock.nowNs());
+        }
+    }
+
+    /** Kind of a failed attempt for the retry policy; empty for one that is never repeated. */
+    static Optional<RefusalKind> kindOf(String problemType) {
+        switch (problemType) {
+            case RemoteCall.UNREACHABLE:
+                // The companion is passed over for a while, so the same slot is asked for again elsewhere.
+                return Optional.of(RefusalKind.NO_LEASE);
+            case RemoteCall.ANSWER_LOST:
+                return Optional.of(RefusalKind.BACKEND_FAILED);
+            default:
+                break;
+        }
+        for (RefusalKind kind : RefusalKind.values()) {
+            if (kind.name().equalsIgnoreCase(problemType.replace('-', '_'))) {
+                return Optional.of(kind);
+            }
+        }
+        return Optional.empty();
+    }
+}
