Add the fault-injecting forwarder

Tests of partitions need delay, loss of one direction, cut and half-open connections between real processes without privileges.

--- a/standin/src/main/java/org/siskintiller/standin/StandinMain.java
+++ b/standin/src/main/java/org/siskintiller/standin/StandinMain.java
@@ -6,6 +6,7 @@
 import org.siskintiller.standin.backend.BackendCommand;
 import org.siskintiller.standin.caller.CallerCommand;
 import org.siskintiller.standin.log.LogCommand;
+import org.siskintiller.standin.proxy.ProxyCommand;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -18,7 +19,7 @@
         mixinStandardHelpOptions = true,
         versionProvider = StandinMain.Version.class,
         scope = ScopeType.INHERIT,
-        subcommands = {LogCommand.class, BackendCommand.class, CallerCommand.class},
+        subcommands = {LogCommand.class, BackendCommand.class, CallerCommand.class, ProxyCommand.class},
         description = "Stand-ins for the platform in tests and the demo.")
 public final class StandinMain {
 
--- /dev/null
+++ b/standin/src/main/java/org/siskintiller/standin/proxy/TcpForwarder.java
@@ -0,0 +1,127 @@
+package org.siskintiller.standin.proxy;
+
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import org.siskintiller.core.model.Address;
+
+/** Forwards TCP connections of one mapping. */
+final class TcpForwarder {
+    private static final int CONNECT_TIMEOUT_MS = 2_000;
+
+    private final ProxyMapping mapping;
+    private final Set<Link> links = ConcurrentHashMap.newKeySet();
+    private final Channel listener;
+
+    TcpForwarder(ProxyMapping mapping, Address from, EventLoopGroup group) throws InterruptedException {
+        this.mapping = mapping;
+        this.listener = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childHandler(new AcceptHandler())
+                .bind(from.host(), from.port())
+                .sync()
+                .channel();
+    }
+
+    private record Link(Channel client, Channel server, TcpDirection forward, TcpDirection backward) {}
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    /** Applies changed faults to the open connections. */
+    void faultsChanged() {
+        for (Link link : links) {
+            if (mapping.faults().cut()) {
+                link.client().close();
+                link.server().close();
+            } else {
+                link.client().eventLoop().execute(() -> {
+                    link.forward().flush();
+                    link.backward().flush();
+                });
+            }
+        }
+    }
+
+    int connections() {
+        return links.size();
+    }
+
+    void close() {
+        listener.close();
+        for (Link link : links) {
+            link.client().close();
+            link.server().close();
+        }
+    }
+
+    private void connect(Channel client) {
+        ChannelFuture connecting = new Bootstrap()
+                .group(client.eventLoop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.AUTO_READ, false)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(mapping.target());
+        connecting.addListener(future -> {
+            if (future.isSuccess() && client.isActive()) {
+                link(client, connecting.channel());
+            } else {
+                connecting.channel().close();
+                client.close();
+            }
+        });
+    }
+
+    private void link(Channel client, Channel server) {
+        TcpDirection forward = new TcpDirection(mapping, true, client, server);
+        TcpDirection backward = new TcpDirection(mapping, false, server, client);
+        forward.setOpposite(backward);
+        backward.setOpposite(forward);
+        Link link = new Link(client, server, forward, backward);
+        links.add(link);
+        client.pipeline().addLast(forward);
+        server.pipeline().addLast(backward);
+        // A connection whose end is held back stays in the links until both sides are closed.
+        client.closeFuture().addListener(future -> removeIfClosed(link));
+        server.closeFuture().addListener(future -> removeIfClosed(link));
+        client.config().setAutoRead(true);
+        server.config().setAutoRead(true);
+    }
+
+    private void removeIfClosed(Link link) {
+        if (!link.client().isOpen() && !link.server().isOpen()) {
+            links.remove(link);
+            link.forward().discard();
+            link.backward().discard();
+        }
+    }
+
+    @io.netty.channel.ChannelHandler.Sharable
+    private final class AcceptHandler extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            if (mapping.faults().cut()) {
+                context.close();
+            } else {
+                connect(context.channel());
+            }
+        }
+    }
+}
