--- a/core/src/main/java/org/siskintiller/core/control/ControlPlane.java
+++ b/core/src/main/java/org/siskintiller/core/control/ControlPlane.java
@@ -73,7 +73,7 @@
     /** Handles one event and returns the actions in the order in which they must be carried out. */
     public List<ControlAction> handle(ControlEvent event, long nowNs) {
         if (shutdown.isOver()) {
-            return List.of();
+            return isWitnessing(nowNs) ? witnessOnly(event, nowNs) : List.of();
         }
         context.advanceTo(nowNs);
         if (lease.isHopeless()) {
@@ -86,6 +86,29 @@
         return context.takeActions();
     }
 
+    /**
+     * Whether this incarnation still answers as a witness after it retired. Others need its acks until they have
+     * replaced it: if several companions retired at once and fell silent, the sessions that they witness would lose
+     * their leases and retire too, and so on in turns.
+     */
+    public boolean isWitnessing(long nowNs) {
+        return nowNs < shutdown.witnessUntilNs();
+    }
+
+    private List<ControlAction> witnessOnly(ControlEvent event, long nowNs) {
+        if (!(event instanceof ControlEvent.MessageReceived)) {
+            return List.of();
+        }
+        context.advanceTo(nowNs);
+        PeerMessage message = ((ControlEvent.MessageReceived) event).message();
+        if (message instanceof PeerMessage.Heartbeat) {
+            witness.onHeartbeat((PeerMessage.Heartbeat) message);
+        } else if (message instanceof PeerMessage.EndClaim) {
+            witness.onClaim((PeerMessage.EndClaim) message);
+        }
+        return context.takeActions();
+    }
+
     /** Replayed state through the applied offset. */
     public ClusterState state() {
         return context.state();
--- a/core/src/main/java/org/siskintiller/core/control/Shutdown.java
+++ b/core/src/main/java/org/siskintiller/core/control/Shutdown.java
@@ -10,6 +10,9 @@
 
 /** Ends the own incarnation: a planned stop, the loss of the backend server, or the loss of the lease. */
 final class Shutdown {
+    /** Both bounds end well before others count a retired witness as silent (SessionTiming.WITNESS_RETIRED_NS). */
+    private static final long WITNESS_AFTER_RETIREMENT_NS = 5_000 * SessionTiming.MS;
+
     /** A log that has not stored a record for this long is taken to be down. */
     private static final long LOG_TIMEOUT_NS = 3_000 * SessionTiming.MS;
     /** Slots that nobody took over by then are closed here, and their standbys take over. */
@@ -23,6 +26,7 @@
     private final SessionLease lease;
     private final OwnershipTable table;
     private Phase phase = Phase.NONE;
+    private long witnessUntilNs = Long.MIN_VALUE;
     private String requestedBy;
     private String reason;
     private long sinceNs;
@@ -46,6 +50,11 @@
         return phase == Phase.OVER;
     }
 
+    /** Time until which the incarnation answers as a witness after it retired. */
+    long witnessUntilNs() {
+        return witnessUntilNs;
+    }
+
     void requestStop(String newRequestedBy) {
         if (phase != Phase.NONE) {
             return;
@@ -127,6 +136,9 @@
     private void tickRetiring() {
         if (!context.state().isOpen(context.self()) || elapsed(LOG_TIMEOUT_NS)) {
             phase = Phase.OVER;
+            witnessUntilNs = Math.min(
+                    context.nowNs() + WITNESS_AFTER_RETIREMENT_NS,
+                    lease.withoutSinceNs() + SessionTiming.RETIREMENT_NS);
             context.emit(new ControlAction.Retire(reason));
         }
     }
--- a/core/src/main/java/org/siskintiller/core/session/SessionLease.java
+++ b/core/src/main/java/org/siskintiller/core/session/SessionLease.java
@@ -55,6 +55,11 @@
         return open && !givenUp && nowNs < expiryNs;
     }
 
+    /** Time since which the lease is not held; the present time while it is. */
+    public long withoutSinceNs() {
+        return holds(context.nowNs()) ? context.nowNs() : Math.max(withoutSinceNs, expiryNs);
+    }
+
     /** Witnesses in force by the log. */
     public List<Incarnation> witnesses() {
         for (WitnessSet set : required) {
--- a/measure/src/main/java/org/siskintiller/measure/random/CompanionProcess.java
+++ b/measure/src/main/java/org/siskintiller/measure/random/CompanionProcess.java
@@ -49,6 +49,9 @@
     private final FakeBackendServer server;
     private final Map<RequestId, GateRequest> dispatched = new HashMap<>();
     private final Set<Long> unansweredStores = new HashSet<>();
+    /** Earlier incarnations of this process, which still answer as witnesses for a while. */
+    private final Map<Incarnation, ControlPlane> retired = new HashMap<>();
+
     private Incarnation incarnation;
     private ControlPlane control;
     private Gate gate;
@@ -125,6 +128,7 @@
         running = true;
         serverUp = true;
         pausedUntilNs = 0;
+        retired.clear();
         open();
         submit(0, this::tick);
         submit(0, this::pollLog);
@@ -227,6 +231,24 @@
         submit(LOG_POLL_NS, this::pollLog);
     }
 
+    /** Passes a message to the incarnation that it is for. */
+    void receive(Incarnation to, PeerMessage message) {
+        if (incarnation.equals(to)) {
+            control(new ControlEvent.MessageReceived(message));
+            return;
+        }
+        ControlPlane witness = retired.get(to);
+        if (witness == null) {
+            return;
+        }
+        for (ControlAction action : witness.handle(new ControlEvent.MessageReceived(message), localNs())) {
+            if (action instanceof ControlAction.Send) {
+                run.counters().add("answer of a retired witness");
+                run.send(this, ((ControlAction.Send) action).to(), ((ControlAction.Send) action).message());
+            }
+        }
+    }
+
     /** Passes an event to the control plane and carries out its actions. */
     void control(ControlEvent event) {
         ControlPlane current = control;
@@ -268,6 +290,7 @@
             gate(new GateEvent.CustomerQuiescing(quiesce.customer(), quiesce.removalOffset()));
         } else if (action instanceof ControlAction.Retire) {
             run.counters().add("incarnation retired");
+            retired.put(incarnation, control);
             open();
         } else if (action instanceof ControlAction.Stopped) {
             stopped();
--- a/measure/src/main/java/org/siskintiller/measure/random/RandomRun.java
+++ b/measure/src/main/java/org/siskintiller/measure/random/RandomRun.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 
 import org.siskintiller.core.control.ControlAction;
-import org.siskintiller.core.control.ControlEvent;
 import org.siskintiller.core.invariant.Invariant;
 import org.siskintiller.core.model.ClusterConfig;
 import org.siskintiller.core.model.CustomerConfig;
@@ -215,14 +214,7 @@
         if (target == null) {
             return;
         }
-        network.send(
-                from.index(),
-                target.index(),
-                () -> target.submit(0, () -> {
-                    if (target.incarnation().equals(to)) {
-                        target.control(new ControlEvent.MessageReceived(message));
-                    }
-                }));
+        network.send(from.index(), target.index(), () -> target.submit(0, () -> target.receive(to, message)));
     }
 
     void report(CompanionProcess companion, ControlAction.Report report) {
