Let only the first session open without witnesses

Companions without a lease answered new sessions, retired soon after and took the lease of their holders with them; and three sessions that opened at once had no witnesses, so that nobody could end a lost one. Change: a companion without its lease does not become a witness; the log accepts a session without witnesses only when no other session is open.

--- a/core/src/main/java/org/siskintiller/core/control/ControlPlane.java
+++ b/core/src/main/java/org/siskintiller/core/control/ControlPlane.java
@@ -57,7 +57,7 @@
         witnessChanges = new WitnessChanges(context, lease, appender);
         claims = new Claims(context, ends, appender, relay);
         orphans = new OrphanCheck(context, claims);
-        witness = new Witness(context, claims);
+        witness = new Witness(context, claims, lease);
         table = new OwnershipTable(context, lease, ends, claims, appender);
         answers = new ReleaseAnswers(context, table, lease, relay);
         departures = new Departures(context, appender);
--- a/core/src/main/java/org/siskintiller/core/control/SessionOpener.java
+++ b/core/src/main/java/org/siskintiller/core/control/SessionOpener.java
@@ -14,7 +14,8 @@
 
 /**
  * Opens the own session once the log was read to its tail and the backend server serves. Only sessions that answer a
- * heartbeat become witnesses: an open session in the log may long be lost, and with such witnesses no lease runs.
+ * heartbeat become witnesses: an open session in the log may long be lost, and with such witnesses no lease runs. The
+ * first session has none; the log accepts no other session without witnesses.
  */
 final class SessionOpener {
     private static final long PROBE_NS = 600 * SessionTiming.MS;
@@ -88,7 +89,7 @@
         } else if (context.nowNs() - probedSinceNs >= PROBE_NS) {
             heard.addAll(answered);
             probed.stream().filter(each -> !answered.contains(each)).forEach(silent::add);
-            if (probes < MAX_PROBES) {
+            if (probes < MAX_PROBES || heard.isEmpty()) {
                 probe();
             } else {
                 open(WitnessChoice.choose(context.state(), context.self(), List.copyOf(heard), unheard()));
@@ -99,7 +100,13 @@
     private void probe() {
         probes++;
         probedSinceNs = context.nowNs();
+        heard.removeIf(each -> !context.state().isOpen(each));
         probed = WitnessChoice.choose(context.state(), context.self(), List.copyOf(heard), silent);
+        if (probed.isEmpty() && context.state().openSessionCount() > 0) {
+            // All sessions were asked in vain; they are asked again, since some may have been unreachable for a moment.
+            silent.clear();
+            probed = WitnessChoice.choose(context.state(), context.self(), List.of(), silent);
+        }
         lease.probe(probed);
     }
 
--- a/core/src/main/java/org/siskintiller/core/replay/Replay.java
+++ b/core/src/main/java/org/siskintiller/core/replay/Replay.java
@@ -100,6 +100,10 @@
         if (!validWitnesses(next, self, session.witnesses())) {
             return new Void(Reason.INVALID, "witnesses of " + self + " are not all open sessions");
         }
+        if (session.witnesses().isEmpty() && next.open.size() > 0) {
+            // Nobody can end a session without witnesses, so there is at most one: the first.
+            return new Void(Reason.INVALID, self + " needs witnesses, since other sessions are open");
+        }
         next.openSession(session.withOpenedOffset(next.appliedOffset).withWitnesses(session.witnesses(), 0));
         return Accepted.WHOLE;
     }
--- a/core/src/main/java/org/siskintiller/core/session/Witness.java
+++ b/core/src/main/java/org/siskintiller/core/session/Witness.java
@@ -25,10 +25,12 @@
 
     private final ControlContext context;
     private final Claims claims;
+    private final SessionLease lease;
     private final Map<Incarnation, Entry> entries = new LinkedHashMap<>();
 
-    public Witness(ControlContext context, Claims claims) {
+    public Witness(ControlContext context, Claims claims, SessionLease lease) {
         this.context = context;
+        this.lease = lease;
         this.claims = claims;
     }
 
@@ -38,6 +40,10 @@
     }
 
     public void onHeartbeat(PeerMessage.Heartbeat heartbeat) {
+        if (!entries.containsKey(heartbeat.holder()) && !lease.holds(context.nowNs())) {
+            // Without its own lease this companion may retire within seconds, and the holder would lose its witness.
+            return;
+        }
         Entry entry = entry(heartbeat.holder());
         if (!entry.ended) {
             entry.deadlineNs = context.nowNs() + SessionTiming.WITNESS_LEASE_NS;
--- a/core/src/test/java/org/siskintiller/core/control/RandomFaultsTest.java
+++ b/core/src/test/java/org/siskintiller/core/control/RandomFaultsTest.java
@@ -28,6 +28,7 @@
         for (int i = 0; i < COMPANIONS; i++) {
             addCompanion();
         }
+        cluster.run(3_000);
         for (int round = 0; round < 40; round++) {
             injectFault();
             cluster.run(cluster.random.nextInt(1_500));
