Tell the gate when a response begins and when a caller's body is cut

Cause: a caller that broke off its body looked like a backend server that died while it ran the request, which counts towards quarantine. Change: remember a failure of the caller's side and report it as such; pass the arrival of the response head on.

--- a/node/src/main/java/org/siskintiller/node/backend/BackendCall.java
+++ b/node/src/main/java/org/siskintiller/node/backend/BackendCall.java
@@ -1,6 +1,5 @@
 package org.siskintiller.node.backend;
 
-import java.io.InputStream;
 import java.util.function.BooleanSupplier;
 
 import org.siskintiller.core.model.Fence;
@@ -14,16 +13,18 @@
  * @param fence fencing token, or null
  * @param rank rank under which the gate admitted the request
  * @param mayDispatch asked directly before the request is written
+ * @param responseBegan run when the head of the answer has arrived
  * @param keepBody whether the answer is kept for repeats of the request
  */
 public record BackendCall(
         RequestHead head,
-        InputStream body,
+        CallerBody body,
         ResponseSink sink,
         int slot,
         Fence fence,
         String rank,
         long deadlineNs,
         BooleanSupplier mayDispatch,
+        Runnable responseBegan,
         boolean keepBody,
         CallCancel cancel) {}
--- a/node/src/main/java/org/siskintiller/node/backend/BackendClient.java
+++ b/node/src/main/java/org/siskintiller/node/backend/BackendClient.java
@@ -121,6 +121,7 @@
         call.cancel().onCancel(() -> answer.cancel(true));
         try {
             HttpResponse<InputStream> response = answer.get(Math.max(1, remainingNs(call)), TimeUnit.NANOSECONDS);
+            call.responseBegan().run();
             return receive(call, response, startNs);
         } catch (TimeoutException e) {
             answer.cancel(true);
@@ -130,11 +131,16 @@
             cancelAtBackend(call.head().id());
             return new DispatchOutcome.TimedOut();
         } catch (ExecutionException e) {
-            return classify(e.getCause());
+            return classify(call, e.getCause());
         }
     }
 
-    private static DispatchOutcome classify(Throwable cause) {
+    private DispatchOutcome classify(BackendCall call, Throwable cause) {
+        if (call.body().failed()) {
+            // The backend server did nothing wrong; it got a cut body and must not be taken for a crashed one.
+            cancelAtBackend(call.head().id());
+            return new DispatchOutcome.TimedOut();
+        }
         if (cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException) {
             return new DispatchOutcome.NotRun("cannot connect to the backend server");
         }
--- a/node/src/main/java/org/siskintiller/node/runtime/GateDriver.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/GateDriver.java
@@ -23,6 +23,7 @@
 import org.siskintiller.node.backend.BackendCall;
 import org.siskintiller.node.backend.BackendClient;
 import org.siskintiller.node.backend.CallCancel;
+import org.siskintiller.node.backend.CallerBody;
 import org.siskintiller.node.request.Problem;
 
 /**
@@ -164,16 +165,20 @@
         try {
             outcome = backend.call(new BackendCall(
                     request.head(),
-                    request.body(),
+                    new CallerBody(request.body(), () -> waiting.callerLost = true),
                     request.sink(),
                     request.gate().slot() == null ? -1 : request.gate().slot().slot(),
                     dispatch.fence(),
                     request.gate().rank(),
                     dispatch.deadlineNs(),
                     () -> mayDispatch(dispatch.id()),
+                    () -> submit(new GateEvent.ResponseBegan(dispatch.id())),
                     !request.gate().idempotent(),
                     waiting.cancel));
         } finally {
+            if (outcome instanceof DispatchOutcome.TimedOut && waiting.callerLost) {
+                callerGone(dispatch.id());
+            }
             submit(new GateEvent.Finished(dispatch.id(), outcome));
         }
         return conclude(request, outcome, waiting);
@@ -221,5 +226,6 @@
         private final CompletableFuture<GateDecision> verdict = new CompletableFuture<>();
         private final CallCancel cancel = new CallCancel();
         private volatile GateDecision afterwards;
+        private volatile boolean callerLost;
     }
 }
