Keep stream ids in order and never replay an answer without its body

Cause: in a trial with a paused and a killed companion, connections ended with 'a stream id was used twice', because two threads numbered and wrote their streams in different orders; and repeats of requests whose first caller was gone got status 200 with an empty body. Change: number and write a stream under one lock; read a short answer to its end when its caller is gone; answer a repeat whose answer was not kept with a problem of outcome ran.

--- a/node/src/main/java/org/siskintiller/node/backend/BackendClient.java
+++ b/node/src/main/java/org/siskintiller/node/backend/BackendClient.java
@@ -176,17 +176,19 @@
     private DispatchOutcome stream(
             BackendCall call, HttpResponse<InputStream> response, InputStream body, long length, long startNs)
             throws IOException {
-        String contentType = response.headers().firstValue("Content-Type").orElse("");
         KeptBody kept = new KeptBody(call.keepBody());
         try {
             Streams.copy(
                     body, kept.tee(start(call, new ResponseHead(response.statusCode(), headers(response), length))));
         } catch (Streams.TargetLostException e) {
-            kept.discard();
             call.sink().abort("the caller is gone");
+            // The request ran. A short answer is read to its end, so that a repeat gets it whole.
+            kept.readRest(body);
         }
         long durationNs = clockNs.getAsLong() - startNs;
-        return new DispatchOutcome.Answered(response.statusCode(), contentType, kept.bytes(), durationNs);
+        String contentType = response.headers().firstValue("Content-Type").orElse("application/octet-stream");
+        return new DispatchOutcome.Answered(
+                response.statusCode(), kept.isEmptyAnswer() ? "" : contentType, kept.bytes(), durationNs);
     }
 
     private static OutputStream start(BackendCall call, ResponseHead head) throws IOException {
@@ -317,8 +319,9 @@
 
                 @Override
                 public void write(byte[] bytes, int offset, int length) throws IOException {
-                    out.write(bytes, offset, length);
+                    // Kept first: the answer is complete for a repeat even if this caller is gone.
                     keep(bytes, offset, length);
+                    out.write(bytes, offset, length);
                 }
 
                 @Override
@@ -339,8 +342,21 @@
             kept.write(bytes, offset, length);
         }
 
-        void discard() {
-            kept = null;
+        /** Reads what the caller did not get, as far as the answer is kept at all. */
+        void readRest(InputStream body) throws IOException {
+            byte[] chunk = new byte[1024];
+            while (kept != null) {
+                int count = body.read(chunk);
+                if (count < 0) {
+                    return;
+                }
+                keep(chunk, 0, count);
+            }
+        }
+
+        /** Whether the answer had no body, unlike one whose body is not kept. */
+        boolean isEmptyAnswer() {
+            return kept != null && kept.size() == 0;
         }
 
         Bytes bytes() {
--- a/node/src/main/java/org/siskintiller/node/http/ExchangeSink.java
+++ b/node/src/main/java/org/siskintiller/node/http/ExchangeSink.java
@@ -80,7 +80,8 @@
         return started;
     }
 
-    boolean aborted() {
+    @Override
+    public boolean aborted() {
         return aborted;
     }
 }
--- a/node/src/main/java/org/siskintiller/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/siskintiller/node/peer/PeerConnection.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -25,12 +24,12 @@
     private final PeerHandler handler;
     private final boolean accepted;
     private final Map<Long, PeerStream> streams = new ConcurrentHashMap<>();
-    private final AtomicLong lastStreamId = new AtomicLong();
     private final Object writability = new Object();
     private final CompletableFuture<PeerConnection> ready = new CompletableFuture<>();
     private volatile Channel channel;
     private volatile long incarnation;
     private volatile long highestReceivedId;
+    private long lastStreamId;
 
     PeerConnection(PeerHandler handler, boolean accepted) {
         this.handler = handler;
@@ -39,21 +38,25 @@
 
     /** Opens a stream with a request. If the head cannot be written, the stream fails as not run. */
     PeerStream open(Proto.RequestHead.Builder head) {
-        long id = lastStreamId.incrementAndGet();
-        PeerStream stream = new PeerStream(this, id, ModelCodec.fromProto(head.getRequestId()));
-        if (streams.size() >= PeerLimits.MAX_STREAMS) {
-            stream.fail(new StreamFailedException(Outcome.NOT_RUN, "too many streams to the companion"));
-            return stream;
-        }
-        streams.put(id, stream);
-        Proto.PeerFrame frame = Proto.PeerFrame.newBuilder()
-                .setRequestHead(head.setStreamId(id))
-                .build();
-        channel.writeAndFlush(frame).addListener(written -> {
-            if (!written.isSuccess()) {
-                stream.fail(new StreamFailedException(Outcome.NOT_RUN, "the request could not be sent"));
+        PeerStream stream;
+        // Number and write under one lock: the other side accepts only rising stream ids.
+        synchronized (streams) {
+            long id = ++lastStreamId;
+            stream = new PeerStream(this, id, ModelCodec.fromProto(head.getRequestId()));
+            if (streams.size() >= PeerLimits.MAX_STREAMS) {
+                stream.fail(new StreamFailedException(Outcome.NOT_RUN, "too many streams to the companion"));
+                return stream;
             }
-        });
+            streams.put(id, stream);
+            Proto.PeerFrame frame = Proto.PeerFrame.newBuilder()
+                    .setRequestHead(head.setStreamId(id))
+                    .build();
+            channel.writeAndFlush(frame).addListener(written -> {
+                if (!written.isSuccess()) {
+                    stream.fail(new StreamFailedException(Outcome.NOT_RUN, "the request could not be sent"));
+                }
+            });
+        }
         return stream;
     }
 
--- a/node/src/main/java/org/siskintiller/node/request/ResponseSink.java
+++ b/node/src/main/java/org/siskintiller/node/request/ResponseSink.java
@@ -20,4 +20,7 @@
 
     /** Returns whether the head was sent. */
     boolean started();
+
+    /** Returns whether the response was cut. */
+    boolean aborted();
 }
--- a/node/src/main/java/org/siskintiller/node/runtime/GateDriver.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/GateDriver.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
@@ -20,6 +21,8 @@
 import org.siskintiller.core.gate.RefusalKind;
 import org.siskintiller.core.gate.Suspicion;
 import org.siskintiller.core.model.RequestId;
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
 import org.siskintiller.node.backend.BackendCall;
 import org.siskintiller.node.backend.BackendClient;
 import org.siskintiller.node.backend.CallCancel;
@@ -173,7 +176,7 @@
                     dispatch.deadlineNs(),
                     () -> mayDispatch(dispatch.id()),
                     () -> submit(new GateEvent.ResponseBegan(dispatch.id())),
-                    !request.gate().idempotent(),
+                    !request.gate().idempotent() && !request.gate().generatedKey(),
                     waiting.cancel));
         } finally {
             if (outcome instanceof DispatchOutcome.TimedOut && waiting.callerLost) {
@@ -185,11 +188,15 @@
     }
 
     private Attempt conclude(GatedRequest request, DispatchOutcome outcome, Pending waiting) throws IOException {
+        if (request.sink().aborted()) {
+            return new Attempt.Done(false);
+        }
         if (outcome instanceof DispatchOutcome.Answered) {
             request.sink().finish();
             return new Attempt.Done(true);
         }
         if (request.sink().started()) {
+            EventLog.log(LogEvent.RESPONSE_CUT, request.gate().id() + ": " + outcome);
             request.sink().abort(outcome.toString());
             return new Attempt.Done(false);
         }
@@ -211,6 +218,10 @@
 
     private static Attempt answer(GatedRequest request, GateDecision decision) throws IOException {
         if (decision instanceof GateDecision.Replay replay) {
+            Optional<Problem> problem = StoredAnswer.problem(replay.record());
+            if (problem.isPresent()) {
+                return new Attempt.Failed(problem.get(), false);
+            }
             StoredAnswer.send(replay.record(), request.sink());
             return new Attempt.Done(true);
         }
--- a/node/src/main/java/org/siskintiller/node/runtime/PeerSink.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/PeerSink.java
@@ -21,6 +21,7 @@
     private final PeerStream stream;
     private final Supplier<Proto.ResponseHead.Builder> report;
     private boolean started;
+    private boolean aborted;
 
     /**
      * Creates the way back to the ingress companion.
@@ -57,6 +58,7 @@
 
     @Override
     public void abort(String reason) {
+        aborted = true;
         stream.reset(Outcome.RAN, reason);
     }
 
@@ -74,4 +76,9 @@
     public boolean started() {
         return started;
     }
+
+    @Override
+    public boolean aborted() {
+        return aborted;
+    }
 }
--- a/node/src/main/java/org/siskintiller/node/runtime/RemoteCall.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/RemoteCall.java
@@ -16,6 +16,8 @@
 import org.siskintiller.core.gate.Suspicion;
 import org.siskintiller.core.model.Address;
 import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
 import org.siskintiller.node.http.ProblemReader;
 import org.siskintiller.node.peer.PeerStream;
 import org.siskintiller.node.peer.PeerTransport;
@@ -124,6 +126,7 @@
             if (!request.sink().started()) {
                 return unreachable(new StreamFailedException(Outcome.RAN, "the answer was cut: " + e.getMessage()));
             }
+            EventLog.log(LogEvent.RESPONSE_CUT, request.gate().id() + ": " + e.getMessage());
             request.sink().abort(e.getMessage());
             return new Attempt.Done(false);
         } finally {
--- a/node/src/test/java/org/siskintiller/node/peer/PeerTransportTest.java
+++ b/node/src/test/java/org/siskintiller/node/peer/PeerTransportTest.java
@@ -5,7 +5,9 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -90,6 +92,31 @@
         echo.get();
     }
 
+    /** Guards against stream numbers that reach the other side out of order and so end the connection. */
+    @Test
+    void concurrentStreamsShareAConnection() throws Exception {
+        List<Future<Integer>> statuses = new ArrayList<>();
+        Future<?> echo = workers.submit(() -> {
+            for (int i = 0; i < 64; i++) {
+                PeerStream other = accepted();
+                other.respond(Proto.ResponseHead.newBuilder().setStatus(200));
+                other.finish();
+            }
+            return null;
+        });
+        for (int i = 0; i < 64; i++) {
+            statuses.add(workers.submit(() -> {
+                PeerStream stream = open();
+                stream.finish();
+                return stream.responseHead().get().getStatus();
+            }));
+        }
+        for (Future<Integer> status : statuses) {
+            assertThat(status.get()).isEqualTo(200);
+        }
+        echo.get();
+    }
+
     /** Guards against a slow receiver that makes the sender buffer a whole body in memory. */
     @Test
     void senderWaitsForCredit() throws Exception {
--- a/node/src/test/java/org/siskintiller/node/runtime/CompanionRuntimeTest.java
+++ b/node/src/test/java/org/siskintiller/node/runtime/CompanionRuntimeTest.java
@@ -200,6 +200,27 @@
         assertThat(runs).isEqualTo(1);
     }
 
+    /** Guards against a repeat that gets an answer without its body, which would look complete. */
+    @Test
+    void repeatOfLargeAnswerSaysThatItRan() throws Exception {
+        String key = Ids.uuidVersion7(System.currentTimeMillis());
+        for (int send = 0; send < 2; send++) {
+            HttpResponse<String> response = send(request(0, "/desk/order", null)
+                    .header("Idempotency-Key", key)
+                    .POST(BodyPublishers.ofString("x".repeat(100_000))));
+            if (send == 0) {
+                assertThat(response.body()).hasLength(100_000);
+            } else {
+                assertThat(response.statusCode()).isEqualTo(409);
+                assertThat(response.headers().firstValue("Siskin-Outcome")).hasValue("ran");
+            }
+        }
+        long runs = backends.get(2).executed.stream()
+                .filter(line -> line.endsWith(key))
+                .count();
+        assertThat(runs).isEqualTo(1);
+    }
+
     /** Guards against a planned stop that cuts a request or leaves keys without an owner. */
     @Test
     void gracefulStopHandsKeysOver() throws Exception {
