--- a/standin/src/main/java/org/siskintiller/standin/backend/BackendCommand.java
+++ b/standin/src/main/java/org/siskintiller/standin/backend/BackendCommand.java
@@ -7,6 +7,7 @@
 
 import org.siskintiller.standin.Addresses;
 import org.siskintiller.standin.ServerOptions;
+import org.siskintiller.standin.http.WarmUp;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -81,6 +82,11 @@
             description = "executions kept in memory (default ${DEFAULT-VALUE})")
     private int journalLimit;
 
+    @Option(
+            names = "--warm-up",
+            description = "send requests to itself first, to keep class loading out of measurements")
+    private boolean warmUp;
+
     @Override
     public Integer call() throws Exception {
         BackendSettings settings = new BackendSettings(
@@ -101,6 +107,9 @@
                 server.seed());
         Runnable crash = () -> Runtime.getRuntime().halt(CRASH_EXIT_CODE);
         try (BackendStandin backend = new BackendStandin(server.address(), settings, crash)) {
+            if (warmUp) {
+                WarmUp.run(backend.address(), "/load");
+            }
             ServerOptions.announce(backend.address());
             new CountDownLatch(1).await();
         }
--- a/standin/src/main/java/org/siskintiller/standin/caller/CallerCommand.java
+++ b/standin/src/main/java/org/siskintiller/standin/caller/CallerCommand.java
@@ -14,6 +14,7 @@
 import org.siskintiller.standin.ServerOptions;
 import org.siskintiller.standin.http.HttpBodies;
 import org.siskintiller.standin.http.StandinHttpServer;
+import org.siskintiller.standin.http.WarmUp;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -53,6 +54,7 @@
             try (StandinHttpServer http =
                     StandinHttpServer.start(server.address(), exchange -> handle(exchange, generator, stats))) {
                 ServerOptions.announce(http.address());
+                WarmUp.run(http.address(), "/summary");
                 generator.run();
             }
         }
