Refuse unknown fields of fault settings

A misspelt fault was accepted and injected nothing, so that the test which set it would test nothing.

--- a/standin/src/main/java/org/siskintiller/standin/backend/BackendFaults.java
+++ b/standin/src/main/java/org/siskintiller/standin/backend/BackendFaults.java
@@ -1,5 +1,7 @@
 package org.siskintiller.standin.backend;
 
+import java.util.Set;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.siskintiller.standin.http.HttpBodies;
@@ -29,6 +31,20 @@
         double loadFactor) {
     static final BackendFaults NONE = new BackendFaults(1, 0, 0, 0, 0, false, true, 0, 1);
 
+    private static final Set<String> FIELDS = Set.of(
+            "mode",
+            "slowFactor",
+            "shed",
+            "errors",
+            "dropAnswers",
+            "cutBodies",
+            "leaving",
+            "announce",
+            "loadLagMs",
+            "loadFactor",
+            "frozen",
+            "freezeMs");
+
     BackendFaults {
         checkShare("shed", shed);
         checkShare("errors", errors);
@@ -39,8 +55,12 @@
         }
     }
 
-    /** Applies a change. {"mode":"up"} clears all faults first; fields that are absent stay as they are. */
+    /**
+     * Applies a change. {"mode":"up"} clears all faults first; fields that are absent stay as they are. The fields
+     * frozen and freezeMs belong to the freeze gate.
+     */
     BackendFaults with(JsonNode change) {
+        HttpBodies.checkFields(change, FIELDS);
         BackendFaults base = change.path("mode").asText("").equals("up") ? NONE : this;
         return new BackendFaults(
                 change.path("slowFactor").asDouble(base.slowFactor),
--- a/standin/src/main/java/org/siskintiller/standin/http/HttpBodies.java
+++ b/standin/src/main/java/org/siskintiller/standin/http/HttpBodies.java
@@ -6,6 +6,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -54,6 +56,15 @@
         throw new IllegalArgumentException("body is no JSON object");
     }
 
+    /** Refuses fields that are not known: a misspelt fault would otherwise be no fault at all. */
+    public static void checkFields(JsonNode json, Set<String> known) {
+        json.fieldNames().forEachRemaining(name -> {
+            if (!known.contains(name)) {
+                throw new IllegalArgumentException("unknown field " + name + "; known are " + new TreeSet<>(known));
+            }
+        });
+    }
+
     public static void sendJson(HttpExchange exchange, int status, JsonNode body) throws IOException {
         send(exchange, status, "application/json", toLine(body).getBytes(StandardCharsets.UTF_8));
     }
--- a/standin/src/main/java/org/siskintiller/standin/log/LogFaults.java
+++ b/standin/src/main/java/org/siskintiller/standin/log/LogFaults.java
@@ -1,5 +1,7 @@
 package org.siskintiller.standin.log;
 
+import java.util.Set;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.siskintiller.standin.http.HttpBodies;
@@ -15,14 +17,20 @@
 record LogFaults(boolean down, long delayMs, double loseAnswers, long lateAppendMs) {
     static final LogFaults NONE = new LogFaults(false, 0, 0, 0);
 
+    private static final Set<String> FIELDS = Set.of("mode", "delayMs", "loseAnswers", "lateAppendMs");
+
     LogFaults {
         if (delayMs < 0 || lateAppendMs < 0 || !(loseAnswers >= 0 && loseAnswers <= 1)) {
             throw new IllegalArgumentException("delayMs and lateAppendMs must be at least 0, loseAnswers from 0 to 1");
         }
     }
 
-    /** Applies a change. The mode "up" clears all faults first; fields that are absent stay as they are. */
+    /**
+     * Applies a change. The mode "up" clears all faults first; fields that are absent stay as they are. A late append
+     * without a share of lost answers concerns all appends.
+     */
     LogFaults with(JsonNode change) {
+        HttpBodies.checkFields(change, FIELDS);
         String mode = change.path("mode").asText("");
         LogFaults base =
                 switch (mode) {
@@ -32,10 +40,14 @@
                     case "slow" -> new LogFaults(false, delayMs, loseAnswers, lateAppendMs);
                     default -> throw new IllegalArgumentException("mode " + mode + " is none of down, up, slow");
                 };
+        if (mode.equals("slow") && !change.has("delayMs")) {
+            throw new IllegalArgumentException("mode slow needs delayMs");
+        }
         return new LogFaults(
                 base.down,
                 change.path("delayMs").asLong(base.delayMs),
-                change.path("loseAnswers").asDouble(base.loseAnswers),
+                change.path("loseAnswers")
+                        .asDouble(change.has("lateAppendMs") && base.loseAnswers == 0 ? 1 : base.loseAnswers),
                 change.path("lateAppendMs").asLong(base.lateAppendMs));
     }
 
--- a/standin/src/main/java/org/siskintiller/standin/proxy/ProxyFaults.java
+++ b/standin/src/main/java/org/siskintiller/standin/proxy/ProxyFaults.java
@@ -1,5 +1,7 @@
 package org.siskintiller.standin.proxy;
 
+import java.util.Set;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.siskintiller.standin.http.HttpBodies;
@@ -25,6 +27,9 @@
         double garbage) {
     static final ProxyFaults NONE = new ProxyFaults(0, 0, 0, false, false, 0, 0);
 
+    private static final Set<String> FIELDS = Set.of(
+            "map", "mode", "delayMs", "lossForward", "lossBackward", "cut", "halfOpen", "bytesPerSecond", "garbage");
+
     ProxyFaults {
         checkShare("lossForward", lossForward);
         checkShare("lossBackward", lossBackward);
@@ -36,6 +41,7 @@
 
     /** Applies a change. {"mode":"up"} clears all faults first; fields that are absent stay as they are. */
     ProxyFaults with(JsonNode change) {
+        HttpBodies.checkFields(change, FIELDS);
         ProxyFaults base = change.path("mode").asText("").equals("up") ? NONE : this;
         return new ProxyFaults(
                 change.path("delayMs").asLong(base.delayMs),
