Take the departure proof from the core

The tool decided by its own code which sessions have to confirm. The core now has that decision, so the tool only adds names and offsets, and every process that proves a departure uses the same rule.

--- a/ctl/src/main/java/org/siskintiller/ctl/DepartCommand.java
+++ b/ctl/src/main/java/org/siskintiller/ctl/DepartCommand.java
@@ -93,7 +93,7 @@
         long deadline = env().time().nowMs() + waitMs;
         while (true) {
             Progress progress = access.stream().readToTail(0);
-            Optional<DepartureProof> proof = check.evaluate(access.state());
+            Optional<DepartureFindings> proof = check.evaluate(access.state());
             boolean atTail = progress instanceof Progress.AtTail;
             if (atTail && proof.isEmpty()) {
                 return Report.failure(
@@ -102,7 +102,7 @@
                         "customer " + customer + " was published again while its departure was checked",
                         "settle with the other operator, then repeat the command");
             }
-            if (atTail && proof.get().complete()) {
+            if (atTail && proof.get().proof().isComplete()) {
                 return proved(access, proof.get());
             }
             long remaining = deadline - env().time().nowMs();
@@ -116,14 +116,13 @@
         }
     }
 
-    private Report proved(ControlAccess access, DepartureProof proof) {
-        Submission submission = access.submitter()
-                .submit(new LogRecord.DepartureProved(
-                        customer, proof.removalOffset(), proof.confirmed(), operator.operator()));
+    private Report proved(ControlAccess access, DepartureFindings found) {
+        Submission submission = access.submitter().submit(found.proof().toRecord(operator.operator()));
         Report report = new Report(ExitCode.OK, "proved")
-                .line("customer " + customer + " has departed: removed at offset " + proof.removalOffset() + "; all "
-                        + proof.findings().size() + " sessions open at or after it have confirmed or ended:");
-        addFindings(report, proof);
+                .line("customer " + customer + " has departed: removed at offset "
+                        + found.proof().removalOffset() + "; all "
+                        + found.findings().size() + " sessions open at or after it have confirmed or ended:");
+        addFindings(report, found);
         if (submission instanceof Submission.Applied applied) {
             report.json().put("proofOffset", applied.offset());
             return report.line("recorded at offset " + applied.offset());
@@ -134,12 +133,12 @@
                 .line("the proof holds, but its record is missing or unknown; repeat the command to record it");
     }
 
-    private Report notProved(Optional<DepartureProof> proof, Progress progress) {
+    private Report notProved(Optional<DepartureFindings> proof, Progress progress) {
         Report report = new Report(ExitCode.NOT_PROVED, "not-proved");
         report.line("no proof: the departure of " + customer + " is not complete");
         proof.ifPresent(each -> {
-            report.line("removed at offset " + each.removalOffset() + "; missing are "
-                    + each.missing().size() + " of " + each.findings().size() + " sessions:");
+            report.line("removed at offset " + each.proof().removalOffset() + "; missing are "
+                    + each.proof().missing().size() + " of " + each.findings().size() + " sessions:");
             addFindings(report, each);
         });
         if (progress instanceof Progress.Unavailable unavailable) {
@@ -148,10 +147,12 @@
         return report.line("look after the missing sessions, then repeat the command");
     }
 
-    private void addFindings(Report report, DepartureProof proof) {
-        report.json().put("customer", customer).put("removalOffset", proof.removalOffset());
+    private void addFindings(Report report, DepartureFindings found) {
+        report.json()
+                .put("customer", customer)
+                .put("removalOffset", found.proof().removalOffset());
         ArrayNode list = report.json().putArray("sessions");
-        for (DepartureProof.Finding finding : proof.findings()) {
+        for (DepartureFindings.Finding finding : found.findings()) {
             String at = finding.offset() < 0 ? "" : " at offset " + finding.offset();
             report.line("  " + finding.name() + " (" + finding.service() + "): "
                     + finding.kind().label() + at);
--- a/ctl/src/main/java/org/siskintiller/ctl/DepartureCheck.java
+++ b/ctl/src/main/java/org/siskintiller/ctl/DepartureCheck.java
@@ -7,17 +7,13 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.siskintiller.core.departure.DepartureProof;
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.model.LogRecord;
-import org.siskintiller.core.model.Session;
-import org.siskintiller.core.model.StateImage.RemovedCustomer;
+import org.siskintiller.core.model.StateImage.EndedSession;
 import org.siskintiller.core.replay.ClusterState;
 
-/**
- * Collects the evidence that a customer's traffic has stopped: for every session that was open at or after the offset
- * of the removal, its confirmation or its end. A session that opens after the removal has applied it before it serves
- * and confirms all the same.
- */
+/** Adds names and offsets to the evidence that a customer's traffic has stopped. */
 final class DepartureCheck implements RecordVisitor {
     private final String customer;
     private final SessionNames names;
@@ -46,38 +42,35 @@
     }
 
     /** Evaluates the state at the tail of the log; empty when the customer is not removed. */
-    Optional<DepartureProof> evaluate(ClusterState state) {
-        return state.removedCustomer(customer).map(removal -> proof(state, removal));
+    Optional<DepartureFindings> evaluate(ClusterState state) {
+        return DepartureProof.collect(state, customer).map(proof -> describe(state, proof));
     }
 
-    private DepartureProof proof(ClusterState state, RemovedCustomer removal) {
-        List<DepartureProof.Finding> findings = new ArrayList<>();
-        state.forEachOpenSession(session -> findings.add(open(state, session, removal)));
-        state.forEachEndedSession(end -> {
-            if (end.endedOffset() <= removal.removalOffset()) {
-                return;
-            }
-            DepartureProof.Kind kind = end.endedBy() == null ? DepartureProof.Kind.CLOSED : DepartureProof.Kind.ENDED;
-            findings.add(finding(state, end.incarnation(), kind, end.endedOffset()));
-        });
-        findings.sort(Comparator.comparing(DepartureProof.Finding::name));
-        return new DepartureProof(customer, removal.removalOffset(), findings);
-    }
-
-    private DepartureProof.Finding open(ClusterState state, Session session, RemovedCustomer removal) {
-        Incarnation incarnation = session.incarnation();
-        if (!removal.confirmed().contains(incarnation)) {
-            return finding(state, incarnation, DepartureProof.Kind.MISSING, -1);
+    private DepartureFindings describe(ClusterState state, DepartureProof proof) {
+        List<DepartureFindings.Finding> findings = new ArrayList<>();
+        for (Incarnation each : proof.confirmed()) {
+            long offset = confirmationOffsets.getOrDefault(each, -1L);
+            findings.add(finding(state, each, DepartureFindings.Kind.CONFIRMED, offset));
+        }
+        for (Incarnation each : proof.ended()) {
+            Optional<EndedSession> end = state.ended(each);
+            boolean closed = end.isPresent() && end.get().endedBy() == null;
+            DepartureFindings.Kind kind = closed ? DepartureFindings.Kind.CLOSED : DepartureFindings.Kind.ENDED;
+            findings.add(finding(
+                    state, each, kind, end.map(EndedSession::endedOffset).orElse(-1L)));
+        }
+        for (Incarnation each : proof.missing()) {
+            findings.add(finding(state, each, DepartureFindings.Kind.MISSING, -1));
         }
-        long offset = confirmationOffsets.getOrDefault(incarnation, -1L);
-        return finding(state, incarnation, DepartureProof.Kind.CONFIRMED, offset);
+        findings.sort(Comparator.comparing(DepartureFindings.Finding::name));
+        return new DepartureFindings(proof, findings);
     }
 
-    private DepartureProof.Finding finding(
-            ClusterState state, Incarnation incarnation, DepartureProof.Kind kind, long offset) {
+    private DepartureFindings.Finding finding(
+            ClusterState state, Incarnation incarnation, DepartureFindings.Kind kind, long offset) {
         String service = names.session(state, incarnation)
                 .map(session -> session.backendServer().service())
                 .orElse("-");
-        return new DepartureProof.Finding(incarnation, names.name(state, incarnation), service, kind, offset);
+        return new DepartureFindings.Finding(incarnation, names.name(state, incarnation), service, kind, offset);
     }
 }
--- a/ctl/src/main/java/org/siskintiller/ctl/DepartureProof.java
+++ b/ctl/src/main/java/org/siskintiller/ctl/DepartureFindings.java
@@ -3,33 +3,17 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.siskintiller.core.departure.DepartureProof;
 import org.siskintiller.core.model.Incarnation;
 
-/** What the log shows about the departure of a customer. It is a proof only if nothing is missing. */
-record DepartureProof(String customer, long removalOffset, List<Finding> findings) {
+/** Evidence about a customer's departure with the names and offsets that an operator needs. */
+record DepartureFindings(DepartureProof proof, List<Finding> findings) {
 
-    DepartureProof {
-        Objects.requireNonNull(customer, "customer");
+    DepartureFindings {
+        Objects.requireNonNull(proof, "proof");
         findings = List.copyOf(findings);
     }
 
-    boolean complete() {
-        return missing().isEmpty();
-    }
-
-    List<Finding> missing() {
-        return findings.stream()
-                .filter(finding -> finding.kind() == Kind.MISSING)
-                .toList();
-    }
-
-    List<Incarnation> confirmed() {
-        return findings.stream()
-                .filter(finding -> finding.kind() == Kind.CONFIRMED)
-                .map(Finding::incarnation)
-                .toList();
-    }
-
     /** Why a session can no longer work for the customer, or that this is not known. */
     enum Kind {
         CONFIRMED("confirmed"),
