Open a new session before the retired witness falls silent

Cause: incarnations retired 10 s after they lost the lease, the moment at which they also had to fall silent as witnesses, so nothing overlapped. Change: retirement after 5 s, silence after 10 s.

--- a/core/src/main/java/org/siskintiller/core/control/Shutdown.java
+++ b/core/src/main/java/org/siskintiller/core/control/Shutdown.java
@@ -138,7 +138,7 @@
             phase = Phase.OVER;
             witnessUntilNs = Math.min(
                     context.nowNs() + WITNESS_AFTER_RETIREMENT_NS,
-                    lease.withoutSinceNs() + SessionTiming.RETIREMENT_NS);
+                    lease.withoutSinceNs() + SessionTiming.WITNESS_SILENCE_NS);
             context.emit(new ControlAction.Retire(reason));
         }
     }
--- a/core/src/main/java/org/siskintiller/core/session/SessionTiming.java
+++ b/core/src/main/java/org/siskintiller/core/session/SessionTiming.java
@@ -6,8 +6,13 @@
     public static final long HEARTBEAT_INTERVAL_MS = 400;
     /** Clocks of two machines differ in rate by at most this much. */
     public static final long DRIFT_PERCENT = 1;
-    /** A companion without its lease for this long retires its incarnation. */
-    public static final long RETIREMENT_MS = 10_000;
+    /** A companion without its lease for this long retires its incarnation and opens a new session. */
+    public static final long RETIREMENT_MS = 5_000;
+    /**
+     * A companion without its lease for this long acks no more as a witness. Between retirement and silence others can
+     * replace it by its new incarnation while they still have its acks.
+     */
+    public static final long WITNESS_SILENCE_MS = 10_000;
     /** Interval at which unanswered claims, releases and lapse notices are repeated. */
     public static final long RETRY_INTERVAL_MS = 100;
 
@@ -19,9 +24,10 @@
 
     public static final long HEARTBEAT_INTERVAL_NS = HEARTBEAT_INTERVAL_MS * MS;
     public static final long RETIREMENT_NS = RETIREMENT_MS * MS;
+    public static final long WITNESS_SILENCE_NS = WITNESS_SILENCE_MS * MS;
     public static final long RETRY_INTERVAL_NS = RETRY_INTERVAL_MS * MS;
     /** Time after its end from which a witness no longer acks, and no lease that it acked still runs. */
-    public static final long WITNESS_RETIRED_NS = withDrift(RETIREMENT_NS + LEASE_DURATION_MS * MS);
+    public static final long WITNESS_RETIRED_NS = withDrift(WITNESS_SILENCE_NS + LEASE_DURATION_MS * MS);
 
     private SessionTiming() {}
 
