Count timeouts as failures only when nothing is answered meanwhile

Change: a timeout is a failure only if the request had more time than usual ones take and nothing was answered while it ran.

--- a/core/src/main/java/org/siskintiller/core/gate/Completion.java
+++ b/core/src/main/java/org/siskintiller/core/gate/Completion.java
@@ -96,7 +96,7 @@
         if (ticket.cancelled) {
             context.health.withdrawn();
         } else {
-            context.health.timedOut(context.nowNs);
+            context.health.timedOut(ticket.dispatchedNs, context.nowNs);
         }
         freeSlot(ticket, true);
         mayHaveRun(ticket, RefusalKind.DEADLINE_PASSED, "no answer within the deadline");
--- a/core/src/main/java/org/siskintiller/core/health/OutlierDetector.java
+++ b/core/src/main/java/org/siskintiller/core/health/OutlierDetector.java
@@ -29,6 +29,7 @@
     private String reason = "";
     private int inFlight;
     private long silentSinceNs;
+    private long lastAnswerNs = Long.MIN_VALUE;
     private int failures;
     private int refusals;
     private long firstRefusalNs;
@@ -54,6 +55,7 @@
 
     public void answered(long durationNs, long nowNs) {
         ended(nowNs);
+        lastAnswerNs = nowNs;
         failures = 0;
         refusals = 0;
         meanServiceNs = meanServiceNs == 0 ? durationNs : meanServiceNs + (durationNs - meanServiceNs) / 10;
@@ -63,6 +65,7 @@
     /** The head of a response arrived; its body may take long. */
     public void responseBegan(long nowNs) {
         silentSinceNs = nowNs;
+        lastAnswerNs = nowNs;
         failures = 0;
         signOfLife(nowNs);
     }
@@ -85,10 +88,15 @@
         countFailure(nowNs);
     }
 
-    /** No answer came in time. This is no response, so the silence goes on. */
-    public void timedOut(long nowNs) {
+    /**
+     * No answer came in time. This is no response, so the silence goes on. It is a failure only if nothing else was
+     * answered meanwhile and it had more time than usual ones take, since many requests time out in an overload.
+     */
+    public void timedOut(long dispatchedNs, long nowNs) {
         inFlight--;
-        countFailure(nowNs);
+        if (lastAnswerNs < dispatchedNs && nowNs - dispatchedNs >= Math.min(NO_RESPONSE_NS, usualLimitNs())) {
+            countFailure(nowNs);
+        }
     }
 
     /** The request ended without anything sent, or it was cancelled, which says nothing about the backend server. */
@@ -148,8 +156,12 @@
     }
 
     private long silenceLimitNs() {
-        long usualNs = meanServiceNs == 0 ? longestRequestNs : (long) (SILENCE_FACTOR * meanServiceNs);
-        return Math.min(MAX_SILENCE_NS, Math.max(NO_RESPONSE_NS, usualNs));
+        return Math.min(MAX_SILENCE_NS, Math.max(NO_RESPONSE_NS, usualLimitNs()));
+    }
+
+    /** Time that few requests exceed. */
+    private long usualLimitNs() {
+        return meanServiceNs == 0 ? longestRequestNs : (long) (SILENCE_FACTOR * meanServiceNs);
     }
 
     private void ended(long nowNs) {
