--- a/core/src/main/java/org/siskintiller/core/admission/Admission.java
+++ b/core/src/main/java/org/siskintiller/core/admission/Admission.java
@@ -14,6 +14,8 @@
 public final class Admission<T extends QueuedRequest> {
     /** Time for which a rank may save up its share, so that bursts within the share are served at once. */
     private static final double SAVED_CREDIT_NS = 100_000_000;
+    /** Factor on the predicted wait. Without it a rank in overload starts many requests that cannot end in time. */
+    private static final double WAIT_MARGIN = 1.25;
 
     private final ConcurrencyLimit limit;
     private final Map<String, RankQueue<T>> ranks = new LinkedHashMap<>();
@@ -72,7 +74,7 @@
         // itself.
         boolean free = rank.idle() || queued == 0 && inFlight < limit.limit();
         double waitNs = free ? 0 : rank.predictedWaitNs(request.customer(), limit.limit(), nowNs);
-        if (!free && nowNs + waitNs + rank.meanServiceNs() > request.deadlineNs()) {
+        if (!free && nowNs + WAIT_MARGIN * waitNs + rank.meanServiceNs() > request.deadlineNs()) {
             rank.admittedShare().refused(nowNs);
             String detail = "the predicted wait of " + Math.round(waitNs / 1e6) + " ms exceeds the deadline";
             return new AdmissionResult.TooLate<>(detail, retryAfterMs(rank));
@@ -130,6 +132,12 @@
         return request;
     }
 
+    /** Whether a taken request would most likely miss its deadline while others of its rank wait that may not. */
+    public boolean hopeless(T request, long nowNs) {
+        RankQueue<T> rank = rankOf(request);
+        return rank.queued() > 0 && request.deadlineNs() - nowNs < rank.meanServiceNs();
+    }
+
     /**
      * Frees the slot of a request.
      *
--- a/core/src/main/java/org/siskintiller/core/gate/Dispatcher.java
+++ b/core/src/main/java/org/siskintiller/core/gate/Dispatcher.java
@@ -94,9 +94,13 @@
         ticket.fence = context.slots.fence(ticket.request().slot());
         long longestNs = Math.min(context.longestRequestNs, ticket.deadlineNs() - context.nowNs);
         ticket.cutoffNs = context.nowNs + longestNs;
-        RefusalKind denial = context.quarantine.refuses(ticket.request().fingerprint(), context.nowNs)
-                ? RefusalKind.QUARANTINED
-                : denial(ticket, context.nowNs);
+        RefusalKind denial = denial(ticket, context.nowNs);
+        if (denial == null && context.quarantine.refuses(ticket.request().fingerprint(), context.nowNs)) {
+            denial = RefusalKind.QUARANTINED;
+        }
+        if (denial == null && context.admission.hopeless(ticket, context.nowNs)) {
+            denial = RefusalKind.DEADLINE_TOO_SHORT;
+        }
         if (denial != null) {
             context.admission.finished(ticket, -1);
             ticket.phase = Ticket.Phase.ARRIVED;
