Test idempotency records and fix the ends of key and window

Cause: two tests of the new records failed. Generated keys dropped two of the given random bits, and a record could be dropped at the very moment at which a key without clock skew was still accepted. Change: keys keep all random bits that the form has room for, and records are kept 1 ms longer. Tests cover storage order, fallback to the log, markers, late records, body and window limits.

--- a/core/src/main/java/org/siskintiller/core/idempotency/IdempotencyKey.java
+++ b/core/src/main/java/org/siskintiller/core/idempotency/IdempotencyKey.java
@@ -32,7 +32,7 @@
     /** Makes a key from a time and random bits, for a request without a key of its own. */
     public static IdempotencyKey of(long timestampMs, long randomHigh, long randomLow) {
         long high = timestampMs << TIMESTAMP_SHIFT | 0x7000L | randomHigh & 0x0fffL;
-        long low = randomLow >>> 2 | 0x8000000000000000L;
+        long low = randomLow & 0x3fffffffffffffffL | 0x8000000000000000L;
         return new IdempotencyKey(new UUID(high, low).toString(), timestampMs & 0xffffffffffffL);
     }
 }
--- a/core/src/main/java/org/siskintiller/core/idempotency/KeyWindow.java
+++ b/core/src/main/java/org/siskintiller/core/idempotency/KeyWindow.java
@@ -24,6 +24,6 @@
 
     /** Wall clock time from which every companion refuses a key of this time, whichever clock it has. */
     public long expiryMs(long timestampMs) {
-        return timestampMs + windowMs + 2 * skewMs;
+        return timestampMs + windowMs + 2 * skewMs + 1;
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/siskintiller/core/idempotency/IdempotencyTest.java
@@ -0,0 +1,202 @@
+package org.siskintiller.core.idempotency;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.siskintiller.core.model.Bytes;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.model.RequestRecord;
+import org.siskintiller.core.model.RequestRecord.RequestState;
+import org.siskintiller.core.model.SlotId;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class IdempotencyTest implements RecordSink {
+    private static final SlotId SLOT = new SlotId("desk", 1);
+    private static final Incarnation STANDBY = new Incarnation(9);
+    private static final long WALL_MS = 1_000_000;
+
+    private final Idempotency records = new Idempotency("desk", this);
+    private final List<String> calls = new ArrayList<>();
+    private final List<RequestRecord> sent = new ArrayList<>();
+    private final List<RequestRecord> ready = new ArrayList<>();
+    private long sequence;
+
+    /** Guards against a standby that counts as a second place before it has the older records. */
+    @Test
+    void synchronisesNewStandbyFirst() {
+        open(1, true, STANDBY, true, false);
+        assertThat(calls).containsExactly("reset");
+        start("a");
+        flush(0);
+        records.stored(sequence);
+        assertThat(ready).isEmpty();
+        records.stored(sequence - 1);
+        assertThat(ready).hasSize(1);
+    }
+
+    /** Guards against records in a log that no claimant reads. */
+    @Test
+    void usesLogOnlyAfterTheWitnessesKnow() {
+        open(1, true, STANDBY, true, false);
+        start("a");
+        flush(0);
+        records.notStored(sequence, 0);
+        flush(0);
+        assertThat(calls).containsExactly("reset", "copy", "request").inOrder();
+        records.recordsInLogConfirmed();
+        flush(0);
+        assertThat(calls).containsExactly("reset", "copy", "request", "log").inOrder();
+        records.stored(sequence);
+        assertThat(ready).hasSize(1);
+        flush(1_100_000_000L);
+        assertThat(calls)
+                .containsExactly("reset", "copy", "request", "log", "reset")
+                .inOrder();
+    }
+
+    /** Guards against a request that is dispatched although no second place has its record. */
+    @Test
+    void reportsDoubleFailure() {
+        open(1, true, null, true, false);
+        RequestRecord started = start("a");
+        records.recordsInLogConfirmed();
+        flush(0);
+        records.notStored(sequence, 0);
+        assertThat(calls).contains("not stored");
+        records.notRun(started);
+        assertThat(lookup("a", 5, false)).isEqualTo(Lookup.Kind.NEW);
+    }
+
+    /** Guards against a second run after the records of a slot were lost. */
+    @Test
+    void refusesOlderKeysWithoutRecords() {
+        open(3, false, null, true, false);
+        assertThat(lookup("a", 5, false)).isEqualTo(Lookup.Kind.UNKNOWN);
+        assertThat(lookup("a", 5, true)).isEqualTo(Lookup.Kind.NEW);
+    }
+
+    /** Guards against a stale marker: the standby missed the records of a later owner. */
+    @Test
+    void trustsMarkersOfTheOpenedVersionOnly() {
+        records.received(List.of(new SlotMarker(SLOT, 2, false, Long.MIN_VALUE).toRecord()));
+        open(3, false, null, true, false);
+        assertThat(lookup("a", 5, false)).isEqualTo(Lookup.Kind.UNKNOWN);
+        Idempotency other = new Idempotency("desk", this);
+        other.received(List.of(new SlotMarker(SLOT, 3, false, Long.MIN_VALUE).toRecord()));
+        other.open(SLOT, 3, false, null, true, false, WALL_MS);
+        assertThat(other.lookup(SLOT, key("a"), false, 5, WALL_MS).kind()).isEqualTo(Lookup.Kind.NEW);
+    }
+
+    /** Guards against a rerun of a request that the lost owner had started. */
+    @Test
+    void treatsStartedRecordOfAnotherOwnerAsUnknown() {
+        records.received(List.of(
+                new SlotMarker(SLOT, 1, false, Long.MIN_VALUE).toRecord(), record("a", RequestState.STARTED, 7)));
+        open(1, false, null, true, false);
+        assertThat(lookup("a", 5, false)).isEqualTo(Lookup.Kind.UNKNOWN);
+        assertThat(lookup("a", 6, false)).isEqualTo(Lookup.Kind.REUSED);
+    }
+
+    /** Guards against new requests while records may be in the part of the log that was not read. */
+    @Test
+    void waitsForTheRequestsStream() {
+        open(1, true, null, true, true);
+        assertThat(lookup("a", 5, false)).isEqualTo(Lookup.Kind.NOT_READY);
+        records.received(List.of(record("a", RequestState.STARTED, 7)));
+        records.streamRead();
+        assertThat(lookup("a", 5, false)).isEqualTo(Lookup.Kind.UNKNOWN);
+        assertThat(lookup("b", 5, false)).isEqualTo(Lookup.Kind.NEW);
+    }
+
+    /** Guards against a late record of an earlier attempt that frees or blocks a key wrongly. */
+    @Test
+    void laterAttemptsWin() {
+        open(1, true, null, true, false);
+        records.received(List.of(record("a", RequestState.COMPLETED, 9), record("a", RequestState.NOT_RUN, 8)));
+        assertThat(lookup("a", 5, false)).isEqualTo(Lookup.Kind.COMPLETED);
+        records.received(List.of(record("b", RequestState.NOT_RUN, 9), record("b", RequestState.STARTED, 9)));
+        assertThat(lookup("b", 5, false)).isEqualTo(Lookup.Kind.NEW);
+    }
+
+    /** Guards against answers that fill the memory. */
+    @Test
+    void dropsLargeBodies() {
+        open(1, true, null, true, false);
+        byte[] large = new byte[Idempotency.MAX_STORED_BODY_BYTES + 1];
+        RequestRecord stored = records.complete(start("a"), 201, "text/plain", Bytes.copyOf(large));
+        assertThat(stored.body()).isEqualTo(Bytes.EMPTY);
+        assertThat(stored.status()).isEqualTo(201);
+    }
+
+    /** Guards against records that are kept for ever, and against keys of a shorter window that become valid again. */
+    @Test
+    void forgetsExpiredRecordsButNotTheirWindow() {
+        open(1, true, null, true, false);
+        records.complete(start("a"), 200, "", Bytes.EMPTY);
+        long laterMs = WALL_MS + KeyWindow.DEFAULT_WINDOW_MS + 20_000;
+        records.flush(0, laterMs);
+        assertThat(records.size()).isEqualTo(0);
+        records.configure(new KeyWindow(10 * KeyWindow.DEFAULT_WINDOW_MS, 5_000), laterMs);
+        assertThat(records.lookup(SLOT, key("a"), false, 5, laterMs).kind()).isEqualTo(Lookup.Kind.OUTSIDE_WINDOW);
+    }
+
+    private void open(long version, boolean first, Incarnation standby, boolean complete, boolean readStream) {
+        records.open(SLOT, version, first, standby, complete, readStream, WALL_MS);
+        flush(0);
+    }
+
+    private void flush(long nowNs) {
+        records.flush(nowNs, WALL_MS);
+    }
+
+    private RequestRecord start(String name) {
+        return records.start(new RecordKey(SLOT, key(name)), 5, WALL_MS);
+    }
+
+    private Lookup.Kind lookup(String name, long digest, boolean generated) {
+        return records.lookup(SLOT, key(name), generated, digest, WALL_MS).kind();
+    }
+
+    private static RequestRecord record(String name, RequestState state, long attemptMs) {
+        return new RequestRecord(SLOT, key(name), 5, state, 200, "", Bytes.EMPTY, attemptMs);
+    }
+
+    private static String key(String name) {
+        return IdempotencyKey.of(WALL_MS, 1, name.hashCode()).text();
+    }
+
+    @Override
+    public void storeAtStandby(Incarnation standby, long number, boolean reset, List<RequestRecord> all) {
+        calls.add(reset ? "reset" : "copy");
+        sent.addAll(all);
+        sequence = number;
+    }
+
+    @Override
+    public void storeInLog(long number, List<RequestRecord> all) {
+        calls.add("log");
+        sequence = number;
+    }
+
+    @Override
+    public void requestRecordsInLog() {
+        calls.add("request");
+    }
+
+    @Override
+    public void readRequestsStream() {
+        calls.add("read");
+    }
+
+    @Override
+    public void recordStored(RequestRecord started) {
+        ready.add(started);
+    }
+
+    @Override
+    public void recordNotStored(RequestRecord started) {
+        calls.add("not stored");
+    }
+}
