Route by the earlier state until a new incarnation has caught up

Cause: in a trial, callers of a companion that had just retired its incarnation got 400 and 404, because the new one had not read the configuration yet. Change: keep the state of the retired incarnation for routing until the new one has applied as much; refuse with 503 before any state is applied. Log unexpected errors of request handlers, which the JDK server swallows.

--- a/node/src/main/java/org/siskintiller/node/http/CallerServer.java
+++ b/node/src/main/java/org/siskintiller/node/http/CallerServer.java
@@ -137,7 +137,12 @@
         var head = ((Parsed.Ok) parsed).head();
         InputStream body =
                 new LimitedInputStream(exchange.getRequestBody(), limits.maxBodyBytes(), head.contentLength());
-        handler.serve(new InboundRequest(head, body, sink));
+        try {
+            handler.serve(new InboundRequest(head, body, sink));
+        } catch (RuntimeException e) {
+            EventLog.log(LogEvent.UNEXPECTED_ERROR, "request " + head.id(), e);
+            throw new ResponseCutException();
+        }
         if (sink.aborted() || !sink.started()) {
             throw new ResponseCutException();
         }
--- a/node/src/main/java/org/siskintiller/node/runtime/CompanionRuntime.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/CompanionRuntime.java
@@ -52,6 +52,7 @@
     private Address peerAddress;
     private BackendClient backend;
     private volatile Generation generation;
+    private volatile ClusterState earlierState;
     private volatile boolean stopping;
     private volatile boolean cleanStop;
     private boolean handedOver;
@@ -71,7 +72,8 @@
                 settings.limits().maxCallers());
         peerAddress = transport.bind(settings.peer());
         RemoteCall remote = new RemoteCall(transport, pumps);
-        Ingress ingress = new Ingress(this::generation, remote, directory, settings.limits(), metrics);
+        Ingress ingress =
+                new Ingress(this::generation, this::routingState, remote, directory, settings.limits(), metrics);
         callers = new CallerServer(
                 settings.http(),
                 settings.limits(),
@@ -86,6 +88,24 @@
         return Optional.ofNullable(generation);
     }
 
+    /**
+     * State for routing. A new incarnation reads the log from its start; until it has caught up, requests are routed by
+     * the state that the earlier one had applied.
+     */
+    Optional<ClusterState> routingState() {
+        Generation own = generation;
+        if (own == null) {
+            return Optional.empty();
+        }
+        ClusterState state = own.control().state();
+        ClusterState earlier = earlierState;
+        if (earlier != null && earlier.appliedOffset() > state.appliedOffset()) {
+            return Optional.of(earlier);
+        }
+        earlierState = null;
+        return state.appliedOffset() < 0 ? Optional.empty() : Optional.of(state);
+    }
+
     CompanionSettings settings() {
         return settings;
     }
@@ -188,6 +208,7 @@
                 finishIfQuiet();
                 return;
             }
+            earlierState = retired.control().state();
             begin(retired.session().backendServer());
         });
     }
--- a/node/src/main/java/org/siskintiller/node/runtime/Ingress.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/Ingress.java
@@ -30,6 +30,7 @@
 /** Serves callers: routes a request, passes it on, and repeats it where the retry policy allows. */
 final class Ingress implements RequestHandler {
     private final Supplier<Optional<Generation>> generation;
+    private final Supplier<Optional<ClusterState>> states;
     private final RemoteCall remote;
     private final PeerDirectory directory;
     private final Limits limits;
@@ -39,11 +40,13 @@
 
     Ingress(
             Supplier<Optional<Generation>> generation,
+            Supplier<Optional<ClusterState>> states,
             RemoteCall remote,
             PeerDirectory directory,
             Limits limits,
             NodeMetrics metrics) {
         this.generation = generation;
+        this.states = states;
         this.remote = remote;
         this.directory = directory;
         this.limits = limits;
@@ -53,12 +56,12 @@
     @Override
     public void serve(InboundRequest inbound) throws IOException {
         long startNs = Clock.nowNs();
-        Optional<Generation> current = generation.get();
+        Optional<ClusterState> current = states.get();
         if (current.isEmpty()) {
-            refuse(inbound, Problem.notRun(503, "starting", "the companion has no session yet", "retry later"));
+            refuse(inbound, Problem.notRun(503, "starting", "the companion has no state yet", "retry later"));
             return;
         }
-        ClusterConfig config = current.get().control().state().config();
+        ClusterConfig config = current.get().config();
         RequestHead head = inbound.head();
         Optional<ServiceConfig> service = config.service(head.service());
         if (head.rank() != null && config.rank(head.rank()).isEmpty()) {
@@ -148,10 +151,10 @@
 
     private Sent attempt(Call call, Set<Incarnation> excluded) throws IOException {
         Generation own = generation.get().orElse(null);
-        if (own == null) {
+        ClusterState state = states.get().orElse(null);
+        if (own == null || state == null) {
             return new Sent(null, failed(RefusalKind.NO_LEASE, "the companion restarts"));
         }
-        ClusterState state = own.control().state();
         long digest = call.prefix().digest(call.head());
         RouteDecision decision = routing.route(
                 new IngressRequest(
