--- a/logclient/src/test/java/org/siskintiller/logclient/HttpLogClientTest.java
+++ b/logclient/src/test/java/org/siskintiller/logclient/HttpLogClientTest.java
@@ -2,11 +2,14 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import com.google.protobuf.ByteString;
+import com.sun.net.httpserver.HttpServer;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.siskintiller.core.model.Address;
@@ -112,6 +115,30 @@
             assertThat(append(ScriptedServer.answering(new byte[0]))).isInstanceOf(AppendResult.Uncertain.class);
         }
 
+        /** The JDK client resends some requests when a reused connection breaks; an append must not be one of them. */
+        @Test
+        void appendOnAReusedConnectionIsSentOnce() throws IOException {
+            byte[] stored =
+                    Proto.AppendResponse.newBuilder().setFirstOffset(0).build().toByteArray();
+            AtomicInteger arrivals = new AtomicInteger();
+            HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1);
+            server.createContext("/", exchange -> {
+                exchange.getRequestBody().readAllBytes();
+                if (arrivals.incrementAndGet() == 1) {
+                    exchange.sendResponseHeaders(200, stored.length);
+                    exchange.getResponseBody().write(stored);
+                }
+                exchange.close();
+            });
+            server.start();
+            LogClient client =
+                    client(new Address("127.0.0.1", server.getAddress().getPort()));
+            assertThat(client.append("control", BATCH)).isEqualTo(new AppendResult.Stored(0));
+            assertThat(client.append("control", BATCH)).isInstanceOf(AppendResult.Uncertain.class);
+            server.stop(0);
+            assertThat(arrivals.get()).isEqualTo(2);
+        }
+
         @Test
         void silenceIsUncertain() throws IOException {
             assertThat(appendUntilTimeout(new byte[0])).isInstanceOf(AppendResult.Uncertain.class);
