Stop reading when the log contradicts itself

An answer with a gap, without progress or with a first record below the expired offset made replay throw or loop. The tool now reports it as unavailable.

--- a/ctl/src/main/java/org/siskintiller/ctl/ControlStream.java
+++ b/ctl/src/main/java/org/siskintiller/ctl/ControlStream.java
@@ -60,11 +60,15 @@
         long wait = waitMs;
         while (true) {
             ReadResult result = client.read(NAME, next, BATCH, wait);
-            if (result instanceof ReadResult.Unavailable) {
-                return new Progress.Unavailable(((ReadResult.Unavailable) result).reason());
+            if (result instanceof ReadResult.Unavailable unavailable) {
+                return new Progress.Unavailable(unavailable.reason());
             }
-            if (result instanceof ReadResult.Expired) {
-                restartAt(((ReadResult.Expired) result).firstRetained());
+            Optional<String> fault = fault(result);
+            if (fault.isPresent()) {
+                return new Progress.Unavailable(fault.get());
+            }
+            if (result instanceof ReadResult.Expired expired) {
+                restartAt(expired.firstRetained());
                 continue;
             }
             ReadResult.Read read = (ReadResult.Read) result;
@@ -83,6 +87,24 @@
         }
     }
 
+    /** Names an answer that contradicts the question, so that reading neither loops nor skips records. */
+    private Optional<String> fault(ReadResult result) {
+        if (result instanceof ReadResult.Expired expired) {
+            return expired.firstRetained() > next
+                    ? Optional.empty()
+                    : Optional.of("the log says that offset " + next + " has expired, but names "
+                            + expired.firstRetained() + " as its first record");
+        }
+        ReadResult.Read read = (ReadResult.Read) result;
+        if (read.records().isEmpty()) {
+            return read.atTail() ? Optional.empty() : Optional.of("the log answered with neither records nor its tail");
+        }
+        long first = read.records().get(0).offset();
+        return first == next
+                ? Optional.empty()
+                : Optional.of("the log answered a read from offset " + next + " with offset " + first);
+    }
+
     private void restartAt(long offset) {
         firstRetained = offset;
         next = offset;
@@ -97,12 +119,10 @@
                 continue;
             }
             LogEntry entry = decode(stored);
-            if (entry.record() instanceof LogRecord.Snapshot) {
-                LogRecord.Snapshot snapshot = (LogRecord.Snapshot) entry.record();
-                if (snapshot.throughOffset() + 1 >= firstRetained) {
-                    startFrom(snapshot);
-                    return true;
-                }
+            if (entry.record() instanceof LogRecord.Snapshot snapshot
+                    && snapshot.throughOffset() + 1 >= firstRetained) {
+                startFrom(snapshot);
+                return true;
             }
             beforeSnapshot.add(stored);
         }
@@ -137,8 +157,8 @@
     private static LogEntry decode(StoredRecord stored) {
         Decoded<LogEntry> decoded = LogCodec.decode(
                 stored.offset(), stored.operationId(), stored.payload().toArray());
-        if (decoded instanceof Decoded.Ok) {
-            return ((Decoded.Ok<LogEntry>) decoded).value();
+        if (decoded instanceof Decoded.Ok<LogEntry> ok) {
+            return ok.value();
         }
         String reason = ((Decoded.Malformed<LogEntry>) decoded).reason();
         AuditEntry malformed = new AuditEntry("unknown", "malformed record", "", "", reason);
--- a/ctl/src/test/java/org/siskintiller/ctl/AuditTest.java
+++ b/ctl/src/test/java/org/siskintiller/ctl/AuditTest.java
@@ -89,6 +89,19 @@
         assertThat(rig.json().path("activePreset").asText()).isEqualTo("ordinary");
     }
 
+    /** A payload that cannot be decoded must neither stop replay nor vanish from the trail. */
+    @Test
+    void showsAMalformedRecordAndGoesOn() {
+        rig.log.addMalformed();
+        rig.log.add(new LogRecord.PresetSwitched(3, "ordinary", "carl"));
+
+        assertThat(rig.run("audit", "--from", "10")).isEqualTo(ExitCode.OK);
+        assertThat(rig.json().path("records").findValuesAsText("what"))
+                .containsExactly("malformed record", "preset")
+                .inOrder();
+        assertThat(rig.json().path("records").get(1).path("outcome").asText()).isEqualTo("accepted");
+    }
+
     @Test
     void withoutASnapshotNothingIsClaimed() {
         rig.log.expireBefore(6);
--- a/ctl/src/test/java/org/siskintiller/ctl/DepartureTest.java
+++ b/ctl/src/test/java/org/siskintiller/ctl/DepartureTest.java
@@ -1,5 +1,7 @@
 package org.siskintiller.ctl;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.model.LogRecord;
@@ -25,7 +27,7 @@
                 .containsExactly("confirmed", "closed", "ended")
                 .inOrder();
         LogRecord last = rig.log.record(rig.log.size() - 1);
-        assertThat(last).isEqualTo(new LogRecord.DepartureProved("growers", REMOVAL, java.util.List.of(id(1)), "anna"));
+        assertThat(last).isEqualTo(new LogRecord.DepartureProved("growers", REMOVAL, List.of(id(1)), "anna"));
     }
 
     @Test
--- a/ctl/src/test/java/org/siskintiller/ctl/FakeLog.java
+++ b/ctl/src/test/java/org/siskintiller/ctl/FakeLog.java
@@ -13,6 +13,7 @@
 import org.siskintiller.logclient.PendingRecord;
 import org.siskintiller.logclient.ReadResult;
 import org.siskintiller.logclient.StoredRecord;
+import org.siskintiller.wire.Decoded;
 import org.siskintiller.wire.LogCodec;
 
 /** Log in memory with scripted faults. Time is counted, not waited for. */
@@ -42,6 +43,10 @@
         return store(new PendingRecord(new OperationId(0, nextId++), Bytes.copyOf(LogCodec.encode(record))));
     }
 
+    void addMalformed() {
+        store(new PendingRecord(new OperationId(0, nextId++), Bytes.copyOf(new byte[] {(byte) 0xff, 1})));
+    }
+
     void nextFates(Fate... next) {
         fates.addAll(List.of(next));
     }
@@ -72,7 +77,7 @@
 
     LogRecord record(int offset) {
         byte[] payload = records.get(offset).payload().toArray();
-        return ((org.siskintiller.wire.Decoded.Ok<LogRecord>) LogCodec.decode(payload)).value();
+        return ((Decoded.Ok<LogRecord>) LogCodec.decode(payload)).value();
     }
 
     @Override
