--- a/node/src/main/java/org/siskintiller/node/runtime/GateDriver.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/GateDriver.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
@@ -20,9 +21,12 @@
 import org.siskintiller.core.gate.RefusalKind;
 import org.siskintiller.core.gate.Suspicion;
 import org.siskintiller.core.model.RequestId;
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
 import org.siskintiller.node.backend.BackendCall;
 import org.siskintiller.node.backend.BackendClient;
 import org.siskintiller.node.backend.CallCancel;
+import org.siskintiller.node.backend.CallerBody;
 import org.siskintiller.node.request.Problem;
 
 /**
@@ -164,27 +168,35 @@
         try {
             outcome = backend.call(new BackendCall(
                     request.head(),
-                    request.body(),
+                    new CallerBody(request.body(), () -> waiting.callerLost = true),
                     request.sink(),
                     request.gate().slot() == null ? -1 : request.gate().slot().slot(),
                     dispatch.fence(),
                     request.gate().rank(),
                     dispatch.deadlineNs(),
                     () -> mayDispatch(dispatch.id()),
-                    !request.gate().idempotent(),
+                    () -> submit(new GateEvent.ResponseBegan(dispatch.id())),
+                    !request.gate().idempotent() && !request.gate().generatedKey(),
                     waiting.cancel));
         } finally {
+            if (outcome instanceof DispatchOutcome.TimedOut && waiting.callerLost) {
+                callerGone(dispatch.id());
+            }
             submit(new GateEvent.Finished(dispatch.id(), outcome));
         }
         return conclude(request, outcome, waiting);
     }
 
     private Attempt conclude(GatedRequest request, DispatchOutcome outcome, Pending waiting) throws IOException {
+        if (request.sink().aborted()) {
+            return new Attempt.Done(false);
+        }
         if (outcome instanceof DispatchOutcome.Answered) {
             request.sink().finish();
             return new Attempt.Done(true);
         }
         if (request.sink().started()) {
+            EventLog.log(LogEvent.RESPONSE_CUT, request.gate().id() + ": " + outcome);
             request.sink().abort(outcome.toString());
             return new Attempt.Done(false);
         }
@@ -206,6 +218,10 @@
 
     private static Attempt answer(GatedRequest request, GateDecision decision) throws IOException {
         if (decision instanceof GateDecision.Replay replay) {
+            Optional<Problem> problem = StoredAnswer.problem(replay.record());
+            if (problem.isPresent()) {
+                return new Attempt.Failed(problem.get(), false);
+            }
             StoredAnswer.send(replay.record(), request.sink());
             return new Attempt.Done(true);
         }
@@ -221,5 +237,6 @@
         private final CompletableFuture<GateDecision> verdict = new CompletableFuture<>();
         private final CallCancel cancel = new CallCancel();
         private volatile GateDecision afterwards;
+        private volatile boolean callerLost;
     }
 }
