Keep a retired companion as a witness until it is replaced

Change: a companion whose witnesses have ended retires at once, records its end, and acks as a witness until the holders have replaced it, for at most five seconds. A planned stop does the same. The simple planner no longer plans more standbys than there are sessions.

--- a/core/src/main/java/org/siskintiller/core/control/ControlPlane.java
+++ b/core/src/main/java/org/siskintiller/core/control/ControlPlane.java
@@ -79,7 +79,7 @@
         if (lease.isHopeless()) {
             shutdown.onLeaseHopeless();
         }
-        if (shutdown.isRetiring() ? isAboutLog(event) : !shutdown.isOver()) {
+        if (shutdown.isRetiring() ? concernsRetired(event) : !shutdown.isOver()) {
             dispatch(event);
             finish();
         }
@@ -134,9 +134,15 @@
         }
     }
 
-    /** A retired incarnation answers nobody. */
-    private static boolean isAboutLog(ControlEvent event) {
-        return event instanceof ControlEvent.Tick
+    /** A retired incarnation reads the log, quiesces, and for a while stays a witness of those that name it. */
+    private boolean concernsRetired(ControlEvent event) {
+        if (event instanceof ControlEvent.MessageReceived) {
+            PeerMessage message = ((ControlEvent.MessageReceived) event).message();
+            return shutdown.mayWitness()
+                    && (message instanceof PeerMessage.Heartbeat || message instanceof PeerMessage.EndClaim);
+        }
+        return event instanceof ControlEvent.SlotsQuiesced
+                || event instanceof ControlEvent.Tick
                 || event instanceof ControlEvent.RecordsRead
                 || event instanceof ControlEvent.AppendStored
                 || event instanceof ControlEvent.AppendUncertain;
--- a/core/src/main/java/org/siskintiller/core/control/Shutdown.java
+++ b/core/src/main/java/org/siskintiller/core/control/Shutdown.java
@@ -16,6 +16,10 @@
     private static final long DRAIN_TIMEOUT_NS = 20_000 * SessionTiming.MS;
     /** The lease is given up repeatedly for this long, since datagrams may be lost. */
     private static final long GIVE_UP_NS = 300 * SessionTiming.MS;
+    /** Holders replace a witness whose end they read within about two seconds. */
+    private static final long WITNESS_TIME_NS = 5_000 * SessionTiming.MS;
+
+    private static final long WITNESS_MARGIN_NS = 100 * SessionTiming.MS;
 
     private final ControlContext context;
     private final Appender appender;
@@ -27,6 +31,7 @@
     private String reason;
     private long sinceNs;
     private long nextGiveUpNs;
+    private long nextCheckNs = Long.MIN_VALUE;
 
     Shutdown(
             ControlContext context, Appender appender, SessionOpener opener, SessionLease lease, OwnershipTable table) {
@@ -56,7 +61,7 @@
         } else if (opener.cancel()) {
             enter(Phase.STOP_WHEN_OPENED);
         } else {
-            stopped();
+            leave();
         }
     }
 
@@ -80,9 +85,11 @@
 
     /** The lease cannot be renewed any more. */
     void onLeaseHopeless() {
-        reason = "the lease was lost and its witnesses cannot renew it";
+        if (reason == null) {
+            reason = "the lease was lost and its witnesses cannot renew it";
+        }
         if (requestedBy == null) {
-            retire(reason);
+            retire();
         } else {
             giveUp();
         }
@@ -91,23 +98,18 @@
     /** The log ended the own session. */
     void onOwnSessionEnded(Incarnation endedBy) {
         if (phase == Phase.CLOSING) {
-            stopped();
-        } else if (phase == Phase.RETIRING) {
-            tickRetiring();
+            retire();
         } else if (phase == Phase.GIVING_UP) {
             leaveWhenQuiet();
-        } else if (requestedBy != null) {
+        } else if (phase != Phase.RETIRING) {
             reason = "the session was ended by " + endedBy;
-            giveUp();
-        } else {
-            retire(endedBy == null ? "the session was closed" : "the session was ended by " + endedBy);
+            onLeaseHopeless();
         }
     }
 
     /** Stops acting, and records the own end so that it need not be claimed. */
-    private void retire(String why) {
-        reason = why;
-        context.report(ControlNotice.SESSION_ENDED, why);
+    private void retire() {
+        context.report(ControlNotice.SESSION_ENDED, reason == null ? "stopped by " + requestedBy : reason);
         lease.giveUp();
         table.stop();
         if (phase != Phase.GIVING_UP) {
@@ -124,18 +126,48 @@
         }
     }
 
+    /** Waits until the end is recorded and the holders that this companion witnesses have replaced it. */
     private void tickRetiring() {
-        if (!context.state().isOpen(context.self()) || elapsed(LOG_TIMEOUT_NS)) {
-            phase = Phase.OVER;
+        if (context.nowNs() < nextCheckNs) {
+            return;
+        }
+        nextCheckNs = context.nowNs() + SessionTiming.RETRY_INTERVAL_NS;
+        boolean recorded = !context.state().isOpen(context.self()) || elapsed(LOG_TIMEOUT_NS);
+        // Without the log no holder can replace its witness.
+        if (recorded && (!mayWitness() || appender.isLogDown() || !isNamedAsWitness())) {
+            leave();
+        }
+    }
+
+    /** Whether this companion may still ack: not for long after its lease, nor while a process waits to stop. */
+    boolean mayWitness() {
+        return !elapsed(WITNESS_TIME_NS)
+                && context.nowNs() - lease.lostSinceNs() < SessionTiming.RETIREMENT_NS - WITNESS_MARGIN_NS;
+    }
+
+    private boolean isNamedAsWitness() {
+        boolean[] named = {false};
+        context.state()
+                .forEachOpenSession(session -> named[0] |= session.witnesses().contains(context.self()));
+        return named[0];
+    }
+
+    private void leave() {
+        phase = Phase.OVER;
+        if (requestedBy == null) {
             context.emit(new ControlAction.Retire(reason));
+            return;
         }
+        Invariant.GRACEFUL_STOP.check(
+                table.openCount() == 0 || reason != null, table.openCount() + " slots are still open at the stop");
+        context.emit(new ControlAction.Stopped());
     }
 
     void tick() {
         switch (phase) {
             case STOP_WHEN_OPENED:
                 if (elapsed(LOG_TIMEOUT_NS)) {
-                    stopped();
+                    leave();
                 }
                 break;
             case DRAINING:
@@ -190,6 +222,10 @@
     }
 
     private void close() {
+        if (appender.isLogDown()) {
+            giveUp();
+            return;
+        }
         enter(Phase.CLOSING);
         appender.append(new LogRecord.SessionClosed(context.self()));
     }
@@ -215,20 +251,11 @@
     }
 
     private void leaveWhenQuiet() {
-        if (requestedBy == null) {
-            retire(reason);
-        } else if (table.openCount() == 0 || elapsed(DRAIN_TIMEOUT_NS)) {
-            stopped();
+        if (requestedBy == null || table.openCount() == 0 || elapsed(DRAIN_TIMEOUT_NS)) {
+            retire();
         }
     }
 
-    private void stopped() {
-        Invariant.GRACEFUL_STOP.check(
-                table.openCount() == 0 || reason != null, table.openCount() + " slots are still open at the stop");
-        phase = Phase.OVER;
-        context.emit(new ControlAction.Stopped());
-    }
-
     private void enter(Phase next) {
         phase = next;
         sinceNs = context.nowNs();
--- a/core/src/main/java/org/siskintiller/core/placement/SpreadPlanner.java
+++ b/core/src/main/java/org/siskintiller/core/placement/SpreadPlanner.java
@@ -93,6 +93,7 @@
         }
 
         List<AssignmentChange> rebalance() {
+            int standbys = Math.min(config.standbys(), owned.size() - 1);
             List<AssignmentChange> changes = new ArrayList<>();
             for (int slot = 0; slot < config.slots() && changes.size() < MAX_REBALANCED_SLOTS; slot++) {
                 Assignment current = state.assignment(config.name(), slot);
@@ -107,10 +108,7 @@
                 owned.merge(from, -1, Integer::sum);
                 List<Incarnation> candidates = new ArrayList<>(List.of(to));
                 owned.merge(to, 1, Integer::sum);
-                changes.add(new AssignmentChange(
-                        slot,
-                        current.version(),
-                        complete(candidates, current.candidates().size() - 1)));
+                changes.add(new AssignmentChange(slot, current.version(), complete(candidates, standbys)));
             }
             return changes;
         }
--- a/core/src/main/java/org/siskintiller/core/session/SessionLease.java
+++ b/core/src/main/java/org/siskintiller/core/session/SessionLease.java
@@ -147,6 +147,14 @@
         }
     }
 
+    /** Time since which the lease is not held, which is now while it is. */
+    public long lostSinceNs() {
+        if (givenUp) {
+            return withoutSinceNs;
+        }
+        return holds(context.nowNs()) ? context.nowNs() : Math.max(withoutSinceNs, expiryNs);
+    }
+
     /** Whether the incarnation can no longer serve, so that a new one must be started. */
     public boolean isHopeless() {
         if (!open || givenUp) {
@@ -157,8 +165,26 @@
                 return true;
             }
         }
-        return !holds(context.nowNs())
-                && context.nowNs() - Math.max(withoutSinceNs, expiryNs) > SessionTiming.RETIREMENT_NS;
+        if (holds(context.nowNs())) {
+            return false;
+        }
+        return context.nowNs() - lostSinceNs() > SessionTiming.RETIREMENT_NS || hasLostItsWitnesses();
+    }
+
+    /** Whether the log has ended so many witnesses that those left cannot renew the lease. */
+    private boolean hasLostItsWitnesses() {
+        for (WitnessSet set : required) {
+            int left = 0;
+            for (Incarnation witness : set.members) {
+                if (context.state().isOpen(witness) && !acks.hasEnded(witness)) {
+                    left++;
+                }
+            }
+            if (left < SessionTiming.renewalQuorum(set.members.size())) {
+                return true;
+            }
+        }
+        return false;
     }
 
     public void onAck(PeerMessage.HeartbeatAck ack) {
@@ -198,6 +224,7 @@
     /** Gives up the lease for good. */
     public void giveUp() {
         if (!givenUp) {
+            withoutSinceNs = lostSinceNs();
             givenUp = true;
             expiryNs = LOST;
             context.emit(new ControlAction.LeaseExtended(LOST));
