End an earlier session when a new one opens at its address

Change: an accepted SessionOpened ends open sessions with the same peer address; a companion that finds one waits for a lease before it opens, so that the old lease is over even when the IP number moved.

--- a/core/src/main/java/org/siskintiller/core/control/RecordDispatch.java
+++ b/core/src/main/java/org/siskintiller/core/control/RecordDispatch.java
@@ -73,6 +73,7 @@
             }
             plane.planner().onChanged();
         } else if (record instanceof LogRecord.SessionOpened) {
+            onSuperseded(before);
             onOpened(((LogRecord.SessionOpened) record).session());
         } else if (record instanceof LogRecord.SessionEnded) {
             LogRecord.SessionEnded end = (LogRecord.SessionEnded) record;
@@ -103,6 +104,18 @@
         plane.planner().onChanged();
     }
 
+    /** A session that opens ends those that had its address before. */
+    private void onSuperseded(ClusterState before) {
+        ClusterState now = plane.context().state();
+        before.forEachOpenSession(earlier -> {
+            if (!now.isOpen(earlier.incarnation())) {
+                onEnded(
+                        earlier.incarnation(),
+                        now.ended(earlier.incarnation()).orElseThrow().endedBy());
+            }
+        });
+    }
+
     private void onOpened(Session session) {
         if (session.incarnation().equals(plane.context().self())) {
             opened(session);
--- a/core/src/main/java/org/siskintiller/core/control/SessionOpener.java
+++ b/core/src/main/java/org/siskintiller/core/control/SessionOpener.java
@@ -20,6 +20,8 @@
 final class SessionOpener {
     private static final long PROBE_NS = 600 * SessionTiming.MS;
     private static final int MAX_PROBES = 3;
+    /** An earlier session at the own address is ended by the opening of the own one, so its lease must be over. */
+    private static final long ADDRESS_BOUND_NS = SessionTiming.WITNESS_LEASE_NS;
 
     private final ControlContext context;
     private final Appender appender;
@@ -27,6 +29,7 @@
     private final Set<Incarnation> silent = new HashSet<>();
     private final Set<Incarnation> heard = new HashSet<>();
     private List<Incarnation> probed;
+    private long createdNs = Long.MIN_VALUE;
     private long probedSinceNs;
     private int probes;
     private boolean tailSeen;
@@ -76,9 +79,15 @@
 
     /** Time has passed or a witness has answered. */
     void proceed() {
+        if (createdNs == Long.MIN_VALUE) {
+            createdNs = context.nowNs();
+        }
         if (!tailSeen || !serving || cancelled || pending != null) {
             return;
         }
+        if (!earlierAtOwnAddress().isEmpty() && context.nowNs() - createdNs < ADDRESS_BOUND_NS) {
+            return;
+        }
         if (probed == null) {
             probe();
         }
@@ -101,15 +110,30 @@
         probes++;
         probedSinceNs = context.nowNs();
         heard.removeIf(each -> !context.state().isOpen(each));
+        Set<Incarnation> earlier = earlierAtOwnAddress();
+        heard.removeAll(earlier);
+        silent.addAll(earlier);
         probed = WitnessChoice.choose(context.state(), context.self(), List.copyOf(heard), silent);
-        if (probed.isEmpty() && context.state().openSessionCount() > 0) {
+        if (probed.isEmpty() && context.state().openSessionCount() > earlier.size()) {
             // All sessions were asked in vain; they are asked again, since some may have been unreachable for a moment.
-            silent.clear();
+            silent.retainAll(earlier);
             probed = WitnessChoice.choose(context.state(), context.self(), List.of(), silent);
         }
         lease.probe(probed);
     }
 
+    private Set<Incarnation> earlierAtOwnAddress() {
+        Set<Incarnation> earlier = new HashSet<>();
+        context.state().forEachOpenSession(session -> {
+            boolean sameAddress =
+                    session.peerAddress().equals(context.ownSession().peerAddress());
+            if (sameAddress && !session.incarnation().equals(context.self())) {
+                earlier.add(session.incarnation());
+            }
+        });
+        return earlier;
+    }
+
     private Set<Incarnation> unheard() {
         Set<Incarnation> unheard = new HashSet<>();
         context.state().forEachOpenSession(session -> {
--- a/core/src/main/java/org/siskintiller/core/replay/Replay.java
+++ b/core/src/main/java/org/siskintiller/core/replay/Replay.java
@@ -1,8 +1,10 @@
 package org.siskintiller.core.replay;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 
+import org.siskintiller.core.model.Address;
 import org.siskintiller.core.model.ClusterConfig;
 import org.siskintiller.core.model.CustomerConfig;
 import org.siskintiller.core.model.Incarnation;
@@ -100,14 +102,35 @@
         if (!validWitnesses(next, self, session.witnesses())) {
             return new Void(Reason.INVALID, "witnesses of " + self + " are not all open sessions");
         }
-        if (session.witnesses().isEmpty() && next.open.size() > 0) {
+        List<Session> superseded = sessionsAt(next, session.peerAddress());
+        for (Session earlier : superseded) {
+            if (session.witnesses().contains(earlier.incarnation())) {
+                return new Void(Reason.INVALID, earlier.incarnation() + " used the address of " + self + " before");
+            }
+        }
+        if (session.witnesses().isEmpty() && next.open.size() > superseded.size()) {
             // Nobody can end a session without witnesses, so there is at most one: the first.
             return new Void(Reason.INVALID, self + " needs witnesses, since other sessions are open");
         }
+        superseded.forEach(earlier -> next.endSession(earlier, self));
         next.openSession(session.withOpenedOffset(next.appliedOffset).withWitnesses(session.witnesses(), 0));
         return Accepted.WHOLE;
     }
 
+    /**
+     * Open sessions at an address. The process that opens another one has bound the address for at least a lease, so
+     * their processes are gone or cut off, and their leases are over. This ends sessions whose witnesses are all lost.
+     */
+    private static List<Session> sessionsAt(ClusterState.Builder next, Address peerAddress) {
+        List<Session> found = new ArrayList<>();
+        next.open.forEach((incarnation, session) -> {
+            if (session.peerAddress().equals(peerAddress)) {
+                found.add(session);
+            }
+        });
+        return found;
+    }
+
     private static Outcome changeWitnesses(ClusterState.Builder next, LogRecord.WitnessesChanged change) {
         Session session = next.open.get(change.incarnation());
         if (session == null) {
--- a/measure/src/main/java/org/siskintiller/measure/random/RandomRun.java
+++ b/measure/src/main/java/org/siskintiller/measure/random/RandomRun.java
@@ -215,11 +215,14 @@
         if (target == null) {
             return;
         }
-        network.send(from.index(), target.index(), () -> target.submit(0, () -> {
-            if (target.incarnation().equals(to)) {
-                target.control(new ControlEvent.MessageReceived(message));
-            }
-        }));
+        network.send(
+                from.index(),
+                target.index(),
+                () -> target.submit(0, () -> {
+                    if (target.incarnation().equals(to)) {
+                        target.control(new ControlEvent.MessageReceived(message));
+                    }
+                }));
     }
 
     void report(CompanionProcess companion, ControlAction.Report report) {
