--- a/core/src/main/java/org/siskintiller/core/placement/LoadView.java
+++ b/core/src/main/java/org/siskintiller/core/placement/LoadView.java
@@ -1,7 +1,9 @@
 package org.siskintiller.core.placement;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.model.PeerMessage.KeyLoad;
@@ -18,8 +20,9 @@
     public static final LoadView EMPTY = new LoadView(Map.of(), Map.of(), List.of());
 
     public LoadView {
-        sessions = Map.copyOf(sessions);
-        slots = Map.copyOf(slots);
+        // Sorted, since the order of Map.copyOf differs between runs and proposals must not.
+        sessions = Collections.unmodifiableMap(new TreeMap<>(sessions));
+        slots = Collections.unmodifiableMap(new TreeMap<>(slots));
         hotKeys = List.copyOf(hotKeys);
     }
 
--- a/core/src/test/java/org/siskintiller/core/control/ControlPlaneTest.java
+++ b/core/src/test/java/org/siskintiller/core/control/ControlPlaneTest.java
@@ -11,6 +11,10 @@
     private final ClusterHarness cluster = new ClusterHarness(1);
 
     private void start(int companions) {
+        start(cluster, companions);
+    }
+
+    private static void start(ClusterHarness cluster, int companions) {
         cluster.publish(SLOTS, 2, true, true);
         for (int i = 0; i < companions; i++) {
             cluster.add(100 + i, "domain-" + i % 3);
@@ -24,6 +28,19 @@
         start(1);
     }
 
+    /** Guards against actions that depend on anything but events, times and the seed. */
+    @Test
+    void sameEventsGiveSameActions() {
+        start(5);
+        cluster.run(3_000);
+        ClusterHarness other = new ClusterHarness(1);
+        start(other, 5);
+        other.run(3_000);
+        cluster.nodes.forEach((id, node) -> assertThat(other.nodes.get(id).actions)
+                .containsExactlyElementsIn(node.actions)
+                .inOrder());
+    }
+
     /** Guards against companions that open their sessions together and block each other. */
     @Test
     void threeCompanionsOpenAllSlots() {
--- a/core/src/test/java/org/siskintiller/core/control/FailureTest.java
+++ b/core/src/test/java/org/siskintiller/core/control/FailureTest.java
@@ -8,6 +8,7 @@
 import org.siskintiller.core.model.Fence;
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.model.LogRecord;
+import org.siskintiller.core.model.Session;
 import org.siskintiller.core.model.SlotId;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -179,6 +180,40 @@
                     "the record is relayed", 3_000, () -> behind.plane.state().configVersion() == 2);
         }
 
+        /** Guards against a release that is promised under a view older than the requester's. */
+        @Test
+        void ownerBehindTheLogStillReleases() {
+            start(6, true);
+            Node behind = node(101);
+            behind.readsLog = false;
+            cluster.append(new LogRecord.DrainRequested(behind.id, "operator"));
+            cluster.runUntil("all slots have moved", 3_000, () -> behind.gate.isEmpty());
+            allServed(50);
+            assertThat(behind.plane.state().session(behind.id).orElseThrow().draining())
+                    .isTrue();
+        }
+
+        /** Guards against holders that keep witnesses which restarted, until too few are left to renew. */
+        @Test
+        void lostWitnessesAreReplaced() {
+            start(8, true);
+            for (long id = 100; id < 103; id++) {
+                node(id).alive = false;
+                cluster.add(200 + id, "domain-" + id % 4);
+                cluster.run(6_000);
+            }
+            cluster.nodes.values().stream().filter(each -> each.alive).forEach(this::hasLiveWitnesses);
+            assertThat(cluster.served(SLOTS)).isEqualTo(SLOTS);
+        }
+
+        private void hasLiveWitnesses(Node holder) {
+            Session session = holder.plane.state().session(holder.id).orElseThrow();
+            assertThat(session.witnesses()).hasSize(5);
+            session.witnesses()
+                    .forEach(each -> assertThat(cluster.nodes.get(each).alive).isTrue());
+            assertThat(holder.plane.holdsLease(cluster.now)).isTrue();
+        }
+
         private int count(Node node, Class<?> type, long expiryNs) {
             return (int) node.actions.stream()
                     .filter(type::isInstance)
