--- a/core/src/main/java/org/siskintiller/core/control/Shutdown.java
+++ b/core/src/main/java/org/siskintiller/core/control/Shutdown.java
@@ -142,7 +142,7 @@
     /** Whether this companion may still ack: not for long after its lease, nor while a process waits to stop. */
     boolean mayWitness() {
         return !elapsed(WITNESS_TIME_NS)
-                && context.nowNs() - lease.lostSinceNs() < SessionTiming.RETIREMENT_NS - WITNESS_MARGIN_NS;
+                && context.nowNs() - lease.lostSinceNs() < SessionTiming.WITNESS_SILENCE_NS - WITNESS_MARGIN_NS;
     }
 
     private boolean isNamedAsWitness() {
