Trust synchronised standbys and void hot key assignments

Cause: the gate proves with markers that a copy of request records is synchronised, but the control plane called the records lost at every unplanned takeover, so that a new owner refused unseen keys for 5 s. Hot keys had assignments but no release or activation of their own. Change: the first standby in another failure domain takes over with complete records; HotKeysAssigned is void until hot keys can be handed over; the wait for the longest request uses the longest value seen; a slot that opens and closes in one call reaches the gate in that order.

--- a/core/src/main/java/org/siskintiller/core/ownership/Activation.java
+++ b/core/src/main/java/org/siskintiller/core/ownership/Activation.java
@@ -1,7 +1,9 @@
 package org.siskintiller.core.ownership;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.siskintiller.core.control.ControlContext;
@@ -15,12 +17,20 @@
 final class Activation {
     private final ControlContext context;
     private final EndRegistry ends;
+    /** Longest request of each service under any configuration seen, since a holder may have learned of it later. */
+    private final Map<String, Long> longestRequestMs = new HashMap<>();
 
     Activation(ControlContext context, EndRegistry ends) {
         this.context = context;
         this.ends = ends;
     }
 
+    void onConfigChanged() {
+        for (ServiceConfig each : context.state().config().services()) {
+            longestRequestMs.merge(each.name(), each.longestRequestMs(), Math::max);
+        }
+    }
+
     /** Result of the check. */
     sealed interface Verdict {
 
@@ -86,12 +96,13 @@
     }
 
     /** Time until which a request of an ended session may run on a backend server that checks no fence. */
-    private long runsUntilNs(SlotEntry entry) {
+    long runsUntilNs(SlotEntry entry) {
         Optional<ServiceConfig> config = context.state().config().service(entry.id.service());
         if (config.isEmpty() || config.get().checksFence()) {
             return Long.MIN_VALUE;
         }
-        long longestNs = SessionTiming.withDrift(config.get().longestRequestMs() * SessionTiming.MS);
+        long longestMs = longestRequestMs.merge(entry.id.service(), config.get().longestRequestMs(), Math::max);
+        long longestNs = SessionTiming.withDrift(longestMs * SessionTiming.MS);
         long untilNs = Long.MIN_VALUE;
         for (Incarnation each : blockers(entry)) {
             EndRegistry.End end = endWithoutRelease(entry, each);
@@ -103,8 +114,9 @@
     }
 
     /**
-     * Request records are complete when every session that may have served has handed them over. The server of the
-     * version directly before is enough, since no other candidate of that version could serve beside it.
+     * Request records are complete when every session that may have served has handed them over, or has kept them here.
+     * Of earlier versions, the server of the one directly before is enough, since no other candidate of that version
+     * could serve beside it. Whether a copy kept here was synchronised, the gate knows.
      */
     private boolean recordsComplete(SlotEntry entry) {
         if (isIdempotent(entry) || entry.open != null) {
@@ -117,6 +129,9 @@
         for (Incarnation each : blockers(entry)) {
             boolean mayHaveServedLast = !serverReleased
                     || entry.assignment.candidates().subList(0, index).contains(each);
+            if (mayHaveServedLast && index == 1 && each.equals(entry.backedUp) && !isPredecessor(entry, each)) {
+                continue;
+            }
             if (mayHaveServedLast && endWithoutRelease(entry, each) != null) {
                 return false;
             }
@@ -124,6 +139,10 @@
         return true;
     }
 
+    private static boolean isPredecessor(SlotEntry entry, Incarnation each) {
+        return entry.assignment.predecessors().contains(each);
+    }
+
     private boolean readRequestsStream(SlotEntry entry) {
         if (isIdempotent(entry) || entry.open != null) {
             return false;
--- a/core/src/main/java/org/siskintiller/core/ownership/OwnershipTable.java
+++ b/core/src/main/java/org/siskintiller/core/ownership/OwnershipTable.java
@@ -99,6 +99,7 @@
 
     /** Configuration changed: slots of services that appeared may open. */
     public void onConfigChanged() {
+        activation.onConfigChanged();
         new ArrayList<>(entries.values()).forEach(this::evaluate);
     }
 
@@ -200,6 +201,8 @@
             return;
         }
         stopped = true;
+        // A slot that opened in this call must not reach the gate after its closing.
+        openings.flush();
         Map<String, List<SlotVersion>> closing = new TreeMap<>();
         for (SlotEntry entry : entries.values()) {
             if (entry.open != null && !entry.closing) {
@@ -211,6 +214,11 @@
         closing.forEach((service, slots) -> context.emit(new ControlAction.CloseSlots(service, slots)));
     }
 
+    /** Passes openings on before actions that must follow them. */
+    void flushOpenings() {
+        openings.flush();
+    }
+
     SlotEntry entry(SlotId slot) {
         return entries.computeIfAbsent(slot, key -> {
             SlotEntry entry = new SlotEntry(key);
@@ -241,6 +249,7 @@
                 current.version() >= entry.assignment.version(),
                 entry.id + " would fall from version " + entry.assignment.version() + " to " + current.version());
         entry.assignment = current;
+        entry.backedUp = backedUp(current);
         stopWaiting(entry);
         if (entry.isUnused(context.self())) {
             entries.remove(entry.id);
@@ -321,6 +330,9 @@
                 fence.version() >= entry.promisedVersion, entry.id + " would open below a promised version");
         Invariant.SOLE_OWNER.check(
                 entry.highest == null || fence.compareTo(entry.highest) > 0, entry.id + " would reuse fence " + fence);
+        Invariant.SOLE_OWNER.check(
+                activation.runsUntilNs(entry) <= context.nowNs(),
+                entry.id + " may still run a request of an ended session");
         for (Incarnation earlier : assignment.candidates().subList(0, fence.candidateIndex())) {
             Invariant.SOLE_OWNER.check(ends.isEnded(earlier), entry.id + " may still be served by " + earlier);
         }
@@ -331,6 +343,18 @@
         }
     }
 
+    /** Owner whose second place is this companion, by the same rule as {@link #standbyOf}. */
+    private Incarnation backedUp(Assignment current) {
+        List<Incarnation> candidates = current.candidates();
+        if (candidates.indexOf(context.self()) != 1) {
+            return null;
+        }
+        Session owner = context.state().session(candidates.get(0)).orElse(null);
+        boolean elsewhere = owner != null
+                && !owner.failureDomain().equals(context.ownSession().failureDomain());
+        return elsewhere ? candidates.get(0) : null;
+    }
+
     private void refreshStandby(SlotEntry entry) {
         Incarnation standby = standbyOf(entry);
         if (standby != null && !standby.equals(entry.standby)) {
--- a/core/src/main/java/org/siskintiller/core/ownership/ReleaseAnswers.java
+++ b/core/src/main/java/org/siskintiller/core/ownership/ReleaseAnswers.java
@@ -52,6 +52,7 @@
             }
         }
         if (!closing.isEmpty()) {
+            table.flushOpenings();
             context.emit(new ControlAction.CloseSlots(request.service(), closing));
             context.report(ControlNotice.SLOTS_CLOSED, closing.size() + " slots of " + request.service());
             // The witnesses mark the offset while the gate quiesces.
--- a/core/src/main/java/org/siskintiller/core/replay/AssignmentReplay.java
+++ b/core/src/main/java/org/siskintiller/core/replay/AssignmentReplay.java
@@ -7,7 +7,6 @@
 
 import org.siskintiller.core.model.Assignment;
 import org.siskintiller.core.model.AssignmentChange;
-import org.siskintiller.core.model.HotKeyChange;
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.model.LogRecord;
 import org.siskintiller.core.model.Session;
@@ -75,21 +74,12 @@
         return new Accepted(voidSlots);
     }
 
-    static Outcome assignHotKeys(ClusterState.Builder next, LogRecord.HotKeysAssigned record) {
-        int valid = 0;
-        for (HotKeyChange change : record.changes()) {
-            ClusterState.HotKey key = new ClusterState.HotKey(record.service(), change.key());
-            Assignment known = next.hotKeys.get(key);
-            Assignment current = known == null ? Assignment.NONE : known;
-            if (current.version() != change.baseVersion()
-                    || !validCandidates(next, record.service(), current, change.candidates())) {
-                continue;
-            }
-            valid++;
-            next.hotKeys = next.hotKeys.with(
-                    key, new Assignment(current.version() + 1, change.candidates(), predecessors(next, current), null));
-        }
-        return valid == 0 ? new Void(Reason.STALE_VERSION, "no hot key change is valid") : Accepted.WHOLE;
+    /**
+     * Hot keys have no activation and release of their own yet, so that an owner besides the slot's owner would not be
+     * the only one. Their assignments stay void until then.
+     */
+    static Outcome assignHotKeys(LogRecord.HotKeysAssigned record) {
+        return new Void(Reason.INVALID, "hot keys of service " + record.service() + " are served with their slots");
     }
 
     /** Candidates are distinct open sessions of the service. A draining session gets no slot that it does not own. */
--- a/core/src/main/java/org/siskintiller/core/replay/Replay.java
+++ b/core/src/main/java/org/siskintiller/core/replay/Replay.java
@@ -55,7 +55,7 @@
             return AssignmentReplay.activate(next, (LogRecord.SlotsActivated) record);
         }
         if (record instanceof LogRecord.HotKeysAssigned) {
-            return AssignmentReplay.assignHotKeys(next, (LogRecord.HotKeysAssigned) record);
+            return AssignmentReplay.assignHotKeys((LogRecord.HotKeysAssigned) record);
         }
         if (record instanceof LogRecord.SessionOpened) {
             return openSession(next, ((LogRecord.SessionOpened) record).session());
--- a/core/src/test/java/org/siskintiller/core/placement/PlacementWorld.java
+++ b/core/src/test/java/org/siskintiller/core/placement/PlacementWorld.java
@@ -62,6 +62,9 @@
 
     void join(int id, int failureDomains) {
         Address address = new Address("127.0.0.1", 1 + id);
+        // Only the first session opens without witnesses.
+        List<Incarnation> sessions = state.sessionsOf(SERVICE);
+        List<Incarnation> witnesses = sessions.isEmpty() ? List.of() : List.of(sessions.get(0));
         append(new LogRecord.SessionOpened(new Session(
                 new Incarnation(id),
                 "i" + id,
@@ -69,7 +72,7 @@
                 address,
                 address,
                 new BackendServer(SERVICE, address, 12, 130),
-                List.of(),
+                witnesses,
                 0,
                 -1,
                 false)));
