Give the sessions of the ctl tests a witness

Cause: replay accepts only the first session without witnesses, so six ctl tests saw fewer sessions than they had opened. Change: later sessions of the test rig name the first as their witness; no expectation of a test has changed.

--- a/ctl/src/test/java/org/siskintiller/ctl/CtlRig.java
+++ b/ctl/src/test/java/org/siskintiller/ctl/CtlRig.java
@@ -70,7 +70,7 @@
                 new Address("127.0.0.1", 7000 + number),
                 new Address("127.0.0.1", 8000 + number),
                 new BackendServer("lookup", new Address("127.0.0.1", 9000 + number), 12, 130),
-                List.of(),
+                number == 1 ? List.of() : List.of(new Incarnation(1)),
                 0,
                 -1,
                 false);
