--- /dev/null
+++ b/core/src/test/java/org/siskintiller/core/quarantine/QuarantineTest.java
@@ -0,0 +1,43 @@
+package org.siskintiller.core.quarantine;
+
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.siskintiller.core.gate.Suspicion;
+import org.siskintiller.core.model.Incarnation;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class QuarantineTest {
+    private static final Incarnation A = new Incarnation(1);
+    private static final Incarnation B = new Incarnation(2);
+
+    private final Quarantine quarantine = new Quarantine();
+
+    /** Guards against a request that is refused after one backend server broke two connections. */
+    @Test
+    void countsDistinctBackendServers() {
+        quarantine.lost(7, A, 0);
+        quarantine.lost(7, A, 1);
+        assertThat(quarantine.refuses(7, 2)).isFalse();
+        quarantine.received(List.of(new Suspicion(7, Set.of(A, B))), 3);
+        assertThat(quarantine.refuses(7, 4)).isTrue();
+        assertThat(quarantine.refused(4)).containsExactly(new Suspicion(7, Set.of(A, B)));
+        assertThat(quarantine.refuses(8, 4)).isFalse();
+    }
+
+    /** Guards against suspicions that fill the memory or stay for ever. */
+    @Test
+    void isBounded() {
+        for (long fingerprint = 0; fingerprint < Quarantine.MAX_SUSPICIONS + 10L; fingerprint++) {
+            quarantine.lost(fingerprint, A, fingerprint);
+        }
+        assertThat(quarantine.size()).isEqualTo(Quarantine.MAX_SUSPICIONS);
+        assertThat(quarantine.suspects(0, 0)).isFalse();
+        long fingerprint = Quarantine.MAX_SUSPICIONS;
+        quarantine.received(List.of(new Suspicion(fingerprint, Set.of(A))), Quarantine.LIFETIME_NS);
+        assertThat(quarantine.suspects(fingerprint, fingerprint + Quarantine.LIFETIME_NS + 1))
+                .isFalse();
+    }
+}
