Count requests refused at dispatch as not admitted

Cause: a request that was queued and then refused still raised the admitted share that the ingress companions follow. Change: refusals at dispatch lower the share like expiries do.

--- a/core/src/main/java/org/siskintiller/core/admission/Admission.java
+++ b/core/src/main/java/org/siskintiller/core/admission/Admission.java
@@ -150,6 +150,12 @@
         account(rank, Math.max(0, serviceNs) - request.predictedNs(), request.guaranteed());
     }
 
+    /** Frees the slot of a taken request that is refused before its dispatch. */
+    public void refused(T request, long nowNs) {
+        rankOf(request).admittedShare().dropped(nowNs);
+        finished(request, -1);
+    }
+
     public int queued() {
         return queued;
     }
--- a/core/src/main/java/org/siskintiller/core/gate/Dispatcher.java
+++ b/core/src/main/java/org/siskintiller/core/gate/Dispatcher.java
@@ -102,7 +102,7 @@
             denial = RefusalKind.DEADLINE_TOO_SHORT;
         }
         if (denial != null) {
-            context.admission.finished(ticket, -1);
+            context.admission.refused(ticket, context.nowNs);
             ticket.phase = Ticket.Phase.ARRIVED;
             context.refuse(ticket, denial, "the request may no longer be dispatched");
             return;
