Bound the copying of request records

Cause: a message with all stored answers could exceed the largest frame of the peer transport, a standby that does not answer got all records every second, and slots of idempotent services were copied for nothing. Change: at most 4 MB of answers go into a synchronisation or release, the pause between synchronisations doubles, and slots of idempotent services are not copied. An answer that was not kept always has a content type, by which the node tells it from an empty one.

--- a/core/src/main/java/org/siskintiller/core/gate/Gate.java
+++ b/core/src/main/java/org/siskintiller/core/gate/Gate.java
@@ -166,6 +166,7 @@
         context.admission.configure(AdmissionSettings.of(event.config(), service));
         quiescing.configured(event);
         Optional<ServiceConfig> config = event.config().service(service);
+        context.idempotency.setCopying(config.isEmpty() || !config.get().idempotent());
         if (config.isPresent() && config.get().longestRequestMs() > 0) {
             context.longestRequestNs = config.get().longestRequestMs() * 1_000_000;
             context.health.setLongestRequest(context.longestRequestNs);
--- a/core/src/main/java/org/siskintiller/core/gate/Quiescing.java
+++ b/core/src/main/java/org/siskintiller/core/gate/Quiescing.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.siskintiller.core.idempotency.BodyBudget;
 import org.siskintiller.core.model.RequestRecord;
 import org.siskintiller.core.model.SlotId;
 import org.siskintiller.core.model.SlotVersion;
@@ -85,6 +86,7 @@
         }
         Map<String, List<SlotVersion>> quiet = new LinkedHashMap<>();
         Map<String, List<RequestRecord>> records = new HashMap<>();
+        BodyBudget bodies = new BodyBudget(BodyBudget.MESSAGE_BYTES);
         Iterator<Map.Entry<SlotId, Long>> pending = closing.entrySet().iterator();
         while (pending.hasNext()) {
             Map.Entry<SlotId, Long> slot = pending.next();
@@ -93,7 +95,7 @@
                 quiet.computeIfAbsent(service, name -> new ArrayList<>())
                         .add(new SlotVersion(slot.getKey().slot(), slot.getValue()));
                 records.computeIfAbsent(service, name -> new ArrayList<>())
-                        .addAll(context.idempotency.release(slot.getKey(), slot.getValue(), context.wallMs));
+                        .addAll(context.idempotency.release(slot.getKey(), slot.getValue(), context.wallMs, bodies));
                 pending.remove();
             }
         }
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/idempotency/BodyBudget.java
@@ -0,0 +1,45 @@
+package org.siskintiller.core.idempotency;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.siskintiller.core.model.Bytes;
+import org.siskintiller.core.model.RequestRecord;
+
+/** Bounds the answers in one message between companions. Records beyond the budget travel without their body. */
+public final class BodyBudget {
+    /** A quarter of the largest frame, so that the records themselves have room. */
+    public static final long MESSAGE_BYTES = 4L << 20;
+
+    /** Marks an answer whose body was not kept, since an empty body without a type would look complete. */
+    private static final String UNNAMED_TYPE = "application/octet-stream";
+
+    private long left;
+
+    public BodyBudget(long bytes) {
+        this.left = bytes;
+    }
+
+    /** Returns the records, some without their body. */
+    List<RequestRecord> apply(List<RequestRecord> records) {
+        List<RequestRecord> bounded = new ArrayList<>(records.size());
+        for (RequestRecord record : records) {
+            boolean fits = record.body().size() <= left;
+            left -= fits ? record.body().size() : 0;
+            bounded.add(fits ? record : withoutBody(record));
+        }
+        return bounded;
+    }
+
+    static RequestRecord withoutBody(RequestRecord record) {
+        return new RequestRecord(
+                record.slot(),
+                record.idempotencyKey(),
+                record.digest(),
+                record.state(),
+                record.status(),
+                record.contentType().isEmpty() ? UNNAMED_TYPE : record.contentType(),
+                Bytes.EMPTY,
+                record.recordedAtMs());
+    }
+}
--- a/core/src/main/java/org/siskintiller/core/idempotency/Idempotency.java
+++ b/core/src/main/java/org/siskintiller/core/idempotency/Idempotency.java
@@ -25,10 +25,12 @@
     private final RecordTable table = new RecordTable();
     private final SecondPlace secondPlace;
     private final Map<SlotId, OpenRecords> open = new HashMap<>();
+    private final Map<SlotId, Optional<Incarnation>> standbys = new HashMap<>();
     private final Map<SlotId, SlotMarker> markers = new HashMap<>();
     private final Set<RecordKey> active = new HashSet<>();
     private final Set<SlotId> reading = new HashSet<>();
     private final Set<SlotId> toRead = new HashSet<>();
+    private boolean copying = true;
     private KeyWindow window = KeyWindow.DEFAULT;
     private long oldestAcceptedMs = Long.MIN_VALUE;
 
@@ -72,16 +74,30 @@
             toRead.add(slot);
             readStreamIfDue();
         }
-        secondPlace.assign(slot, standby);
+        standbys.put(slot, standby == null ? Optional.empty() : Optional.of(standby));
+        if (copying) {
+            secondPlace.assign(slot, standby);
+        }
+    }
+
+    /** Turns the copying of open slots on or off. An idempotent service has no records to copy. */
+    public void setCopying(boolean needed) {
+        if (needed && !copying) {
+            standbys.forEach((slot, standby) -> secondPlace.assign(slot, standby.orElse(null)));
+        } else if (!needed && copying) {
+            standbys.keySet().forEach(slot -> secondPlace.unassign(slot).forEach(sink::recordNotStored));
+        }
+        copying = needed;
     }
 
     /**
      * Closes a slot of which nothing runs any more. Its records stay, since this companion may become its standby.
      *
      * @param version version that the slot is released for
+     * @param budget bounds the answers among the records
      * @return all records of the slot, with a marker if it was open
      */
-    public List<RequestRecord> release(SlotId slot, long version, long wallMs) {
+    public List<RequestRecord> release(SlotId slot, long version, long wallMs, BodyBudget budget) {
         List<RequestRecord> records = new ArrayList<>();
         OpenRecords opened = open.remove(slot);
         if (opened != null) {
@@ -89,10 +105,11 @@
             long unknownBeforeMs = unread ? wallMs + window.skewMs() : opened.unknownBeforeMs;
             records.add(new SlotMarker(slot, version, true, unknownBeforeMs).toRecord());
         }
+        standbys.remove(slot);
         toRead.remove(slot);
         reading.remove(slot);
         secondPlace.unassign(slot).forEach(sink::recordNotStored);
-        records.addAll(table.ofSlot(slot));
+        records.addAll(budget.apply(table.ofSlot(slot)));
         return records;
     }
 
@@ -144,19 +161,19 @@
 
     /** Records that the request was answered. Returns the stored record. */
     public RequestRecord complete(RequestRecord started, int status, String contentType, Bytes body) {
-        Bytes kept = body.size() > MAX_STORED_BODY_BYTES ? Bytes.EMPTY : body;
-        return end(started, RequestState.COMPLETED, status, contentType, kept);
+        RequestRecord outcome = outcome(started, RequestState.COMPLETED, status, contentType, body);
+        return end(body.size() > MAX_STORED_BODY_BYTES ? BodyBudget.withoutBody(outcome) : outcome);
     }
 
     /** Records that the request may have run but has no answer. */
     public void unknown(RequestRecord started) {
-        end(started, RequestState.UNKNOWN, 0, "", Bytes.EMPTY);
+        end(outcome(started, RequestState.UNKNOWN, 0, "", Bytes.EMPTY));
     }
 
     /** Records that the request did not run. Its key may be used again. */
     public void notRun(RequestRecord started) {
         secondPlace.cancel(started);
-        end(started, RequestState.NOT_RUN, 0, "", Bytes.EMPTY);
+        end(outcome(started, RequestState.NOT_RUN, 0, "", Bytes.EMPTY));
     }
 
     /** Merges records of another owner or of the requests stream. Own attempts are known better here. */
@@ -207,8 +224,16 @@
         return table.size();
     }
 
-    private RequestRecord end(RequestRecord started, RequestState state, int status, String contentType, Bytes body) {
-        RequestRecord outcome = new RequestRecord(
+    private RequestRecord end(RequestRecord outcome) {
+        active.remove(RecordKey.of(outcome));
+        table.merge(outcome);
+        secondPlace.update(outcome);
+        return outcome;
+    }
+
+    private static RequestRecord outcome(
+            RequestRecord started, RequestState state, int status, String contentType, Bytes body) {
+        return new RequestRecord(
                 started.slot(),
                 started.idempotencyKey(),
                 started.digest(),
@@ -217,10 +242,6 @@
                 contentType,
                 body,
                 started.recordedAtMs());
-        active.remove(RecordKey.of(started));
-        table.merge(outcome);
-        secondPlace.update(outcome);
-        return outcome;
     }
 
     private Lookup.Kind kindOf(RequestRecord record, RecordKey key, long digest) {
--- a/core/src/main/java/org/siskintiller/core/idempotency/RecordTable.java
+++ b/core/src/main/java/org/siskintiller/core/idempotency/RecordTable.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-import org.siskintiller.core.model.Bytes;
 import org.siskintiller.core.model.RequestRecord;
 import org.siskintiller.core.model.RequestRecord.RequestState;
 import org.siskintiller.core.model.SlotId;
@@ -135,20 +134,8 @@
             if (hasBody(key)) {
                 RequestRecord record = get(key);
                 bodyBytes -= record.body().size();
-                slots.get(key.slot()).put(key.idempotencyKey(), withoutBody(record));
+                slots.get(key.slot()).put(key.idempotencyKey(), BodyBudget.withoutBody(record));
             }
         }
     }
-
-    private static RequestRecord withoutBody(RequestRecord record) {
-        return new RequestRecord(
-                record.slot(),
-                record.idempotencyKey(),
-                record.digest(),
-                record.state(),
-                record.status(),
-                record.contentType(),
-                Bytes.EMPTY,
-                record.recordedAtMs());
-    }
 }
--- a/core/src/main/java/org/siskintiller/core/idempotency/StandbyLink.java
+++ b/core/src/main/java/org/siskintiller/core/idempotency/StandbyLink.java
@@ -21,8 +21,10 @@
 final class StandbyLink {
     /** Time after which an answer that never came counts as a failure. The node answers within 50 ms. */
     private static final long ANSWER_TIMEOUT_NS = 200_000_000L;
-    /** Pause before all records are sent again after a failure. */
+    /** Pause before all records are sent again after a failure. It doubles with each further failure. */
     private static final long RESYNC_INTERVAL_NS = 1_000_000_000L;
+
+    private static final int MAX_RESYNC_DOUBLINGS = 4;
     /** Records per message of a synchronisation. A slot is never split. */
     private static final int SYNC_RECORDS = 2_000;
 
@@ -35,6 +37,7 @@
     private final List<RequestRecord> awaitingSync = new ArrayList<>();
     private long syncSequence = -1;
     private long syncSentNs;
+    private int failures;
     private long retryNs = Long.MIN_VALUE;
 
     StandbyLink(Incarnation standby) {
@@ -111,6 +114,7 @@
             syncing.clear();
             syncSequence = -1;
             retryNs = Long.MIN_VALUE;
+            failures = 0;
             awaitingSync.removeIf(record -> synced.contains(record.slot()) && move(record, ready));
             return ready;
         }
@@ -154,7 +158,8 @@
         synced.clear();
         syncing.clear();
         syncSequence = -1;
-        retryNs = nowNs + RESYNC_INTERVAL_NS;
+        retryNs = nowNs + (RESYNC_INTERVAL_NS << Math.min(failures, MAX_RESYNC_DOUBLINGS));
+        failures++;
         return unconfirmed;
     }
 
@@ -167,12 +172,13 @@
 
     private void synchronise(SecondPlace place, long nowNs) {
         List<RequestRecord> records = new ArrayList<>();
+        BodyBudget budget = new BodyBudget(BodyBudget.MESSAGE_BYTES);
         for (SlotId slot : List.copyOf(toSync)) {
             List<RequestRecord> ofSlot = place.recordsToCopy(slot);
             if (!records.isEmpty() && records.size() + ofSlot.size() > SYNC_RECORDS) {
                 break;
             }
-            records.addAll(ofSlot);
+            records.addAll(budget.apply(ofSlot));
             toSync.remove(slot);
             syncing.add(slot);
         }
--- a/core/src/test/java/org/siskintiller/core/idempotency/IdempotencyTest.java
+++ b/core/src/test/java/org/siskintiller/core/idempotency/IdempotencyTest.java
@@ -94,7 +94,7 @@
     void passesOnTheUnknownTime() {
         open(3, null, false, false);
         Idempotency next = new Idempotency("desk", this);
-        next.received(records.release(SLOT, 3, WALL_MS));
+        next.received(records.release(SLOT, 3, WALL_MS, new BodyBudget(0)));
         next.open(SLOT, 4, null, true, false, WALL_MS);
         assertThat(next.lookup(SLOT, key("a"), false, 5, WALL_MS).kind()).isEqualTo(Lookup.Kind.UNKNOWN);
     }
@@ -140,6 +140,32 @@
         assertThat(stored.status()).isEqualTo(201);
     }
 
+    /** Guards against a message with more answers than a frame holds, and against a cut answer that looks whole. */
+    @Test
+    void boundsAnswersInMessages() {
+        open(1, null, true, false);
+        records.complete(start("a"), 200, "", Bytes.copyOf(new byte[100]));
+        records.complete(start("b"), 200, "", Bytes.copyOf(new byte[100]));
+        List<RequestRecord> released = records.release(SLOT, 1, WALL_MS, new BodyBudget(150));
+        assertThat(released.stream().filter(each -> each.body().size() > 0).count())
+                .isEqualTo(1);
+        assertThat(released.stream()
+                        .filter(each -> !each.contentType().isEmpty())
+                        .count())
+                .isEqualTo(1);
+    }
+
+    /** Guards against traffic for the slots of an idempotent service. */
+    @Test
+    void copiesOnlyWhereNeeded() {
+        records.setCopying(false);
+        open(1, STANDBY, true, false);
+        assertThat(calls).isEmpty();
+        records.setCopying(true);
+        flush(0);
+        assertThat(calls).containsExactly("reset");
+    }
+
     /** Guards against records that are kept for ever, and against keys of a shorter window that become valid again. */
     @Test
     void forgetsExpiredRecordsButNotTheirWindow() {
