Forgive losses when a suspected request is answered

Cause: a frequent request is in flight whenever a backend server is lost, so two unrelated losses within an hour would refuse it. Change: an answer clears the losses before it, also when other companions still report them. A later loss that is seen first-hand counts again.

--- a/core/src/main/java/org/siskintiller/core/gate/Completion.java
+++ b/core/src/main/java/org/siskintiller/core/gate/Completion.java
@@ -58,6 +58,7 @@
     private void answered(Ticket ticket, DispatchOutcome.Answered outcome) {
         answered++;
         context.health.answered(outcome.durationNs(), context.nowNs);
+        context.quarantine.answered(ticket.request().fingerprint(), context.nowNs);
         freeSlot(ticket, true);
         if (ticket.started != null) {
             RequestRecord record = context.idempotency.complete(
--- a/core/src/main/java/org/siskintiller/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/siskintiller/core/quarantine/Quarantine.java
@@ -14,7 +14,7 @@
 
 /**
  * Recognises requests that crash backend servers. A request is refused once two backend servers were lost while they
- * ran it.
+ * ran it, unless it was answered in between: a frequent request is in flight whenever a backend server is lost.
  */
 public final class Quarantine {
     /** Losses after which a request is refused. One loss may be a coincidence. */
@@ -31,9 +31,32 @@
 
     /** Records that the backend server beside the companion was lost while it ran the request. */
     public void lost(long fingerprint, Incarnation at, long nowNs) {
+        Entry entry = live(fingerprint, nowNs);
+        if (entry != null && entry.forgiven.contains(at)) {
+            // First-hand evidence is newer than the answer that forgave the earlier loss.
+            Set<Incarnation> forgiven = new HashSet<>(entry.forgiven);
+            forgiven.remove(at);
+            entries.put(fingerprint, new Entry(entry.lostAt, Set.copyOf(forgiven), entry.changedNs));
+        }
         add(fingerprint, Set.of(at), nowNs);
     }
 
+    /** Records that the request was answered, so that the losses so far had another cause. */
+    public void answered(long fingerprint, long nowNs) {
+        Entry entry = live(fingerprint, nowNs);
+        if (entry == null || entry.lostAt.isEmpty()) {
+            return;
+        }
+        Set<Incarnation> forgiven = new HashSet<>(entry.lostAt);
+        for (Incarnation earlier : entry.forgiven) {
+            if (forgiven.size() < MAX_LOST_AT) {
+                forgiven.add(earlier);
+            }
+        }
+        entries.remove(fingerprint);
+        entries.put(fingerprint, new Entry(Set.of(), Set.copyOf(forgiven), nowNs));
+    }
+
     /** Merges what other companions saw. Suspicions that are already known do not prolong their lifetime. */
     public void received(List<Suspicion> suspicions, long nowNs) {
         for (Suspicion suspicion : suspicions) {
@@ -48,13 +71,16 @@
 
     /** Whether a backend server was lost while it ran this request. */
     public boolean suspects(long fingerprint, long nowNs) {
-        return live(fingerprint, nowNs) != null;
+        Entry entry = live(fingerprint, nowNs);
+        return entry != null && !entry.lostAt.isEmpty();
     }
 
     /** Suspicion that travels with a response or retry of the request. */
     public Optional<Suspicion> suspicion(long fingerprint, long nowNs) {
         Entry entry = live(fingerprint, nowNs);
-        return entry == null ? Optional.empty() : Optional.of(new Suspicion(fingerprint, entry.lostAt));
+        return entry == null || entry.lostAt.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new Suspicion(fingerprint, entry.lostAt));
     }
 
     /** Refused fingerprints, for other companions. */
@@ -78,16 +104,17 @@
         }
         Entry entry = live(fingerprint, nowNs);
         Set<Incarnation> all = new HashSet<>(entry == null ? Set.of() : entry.lostAt);
+        Set<Incarnation> forgiven = entry == null ? Set.of() : entry.forgiven;
         for (Incarnation incarnation : lostAt) {
-            if (all.size() < MAX_LOST_AT) {
+            if (all.size() < MAX_LOST_AT && !forgiven.contains(incarnation)) {
                 all.add(incarnation);
             }
         }
-        if (entry != null && all.size() == entry.lostAt.size()) {
+        if (all.size() == (entry == null ? 0 : entry.lostAt.size())) {
             return;
         }
         entries.remove(fingerprint);
-        entries.put(fingerprint, new Entry(Set.copyOf(all), nowNs));
+        entries.put(fingerprint, new Entry(Set.copyOf(all), forgiven, nowNs));
         forgetOld(nowNs);
     }
 
@@ -107,6 +134,6 @@
         }
     }
 
-    /** Losses that coincided with one fingerprint. */
-    private record Entry(Set<Incarnation> lostAt, long changedNs) {}
+    /** Losses that coincided with one fingerprint, and those before its last answer. */
+    private record Entry(Set<Incarnation> lostAt, Set<Incarnation> forgiven, long changedNs) {}
 }
--- a/core/src/test/java/org/siskintiller/core/quarantine/QuarantineTest.java
+++ b/core/src/test/java/org/siskintiller/core/quarantine/QuarantineTest.java
@@ -27,6 +27,20 @@
         assertThat(quarantine.refuses(8, 4)).isFalse();
     }
 
+    /** Guards against the refusal of a frequent request that was in flight at unrelated losses. */
+    @Test
+    void forgivesLossesBeforeAnAnswer() {
+        quarantine.lost(7, A, 0);
+        quarantine.answered(7, 1);
+        quarantine.received(List.of(new Suspicion(7, Set.of(A))), 2);
+        assertThat(quarantine.suspects(7, 2)).isFalse();
+        quarantine.lost(7, B, 3);
+        assertThat(quarantine.suspicion(7, 4)).hasValue(new Suspicion(7, Set.of(B)));
+        assertThat(quarantine.refuses(7, 4)).isFalse();
+        quarantine.lost(7, A, 5);
+        assertThat(quarantine.refuses(7, 6)).isTrue();
+    }
+
     /** Guards against suspicions that fill the memory or stay for ever. */
     @Test
     void isBounded() {
