Let only owners' reports create flood limit entries

Cause: callers choose the rank that they name, so unknown ranks could fill the table of the flood limit. Change: a request without an earlier report of less than full admission passes and leaves no entry.

--- a/core/src/main/java/org/siskintiller/core/routing/FloodLimit.java
+++ b/core/src/main/java/org/siskintiller/core/routing/FloodLimit.java
@@ -30,14 +30,27 @@
 
     /** Notes the share of recent requests of the rank that the owner admitted, from 0 to 1. */
     public void reported(Incarnation owner, String rank, double admittedShare, long nowNs) {
-        Entry entry = entry(new Target(owner, rank), nowNs);
+        Target target = new Target(owner, rank);
+        Entry entry = entries.get(target);
+        if (entry == null) {
+            if (admittedShare >= 1) {
+                return;
+            }
+            forgetOld(nowNs);
+            entry = new Entry(nowNs);
+            entries.put(target, entry);
+        }
         entry.share = Math.max(0, Math.min(1, admittedShare));
         entry.reportedNs = nowNs;
     }
 
     /** Whether a request of the rank is passed to the owner. */
     public boolean admits(Incarnation owner, String rank, long nowNs) {
-        Entry entry = entry(new Target(owner, rank), nowNs);
+        // Only owners create entries: the rank of a request is whatever its caller names.
+        Entry entry = entries.get(new Target(owner, rank));
+        if (entry == null) {
+            return true;
+        }
         entry.decay(nowNs);
         entry.offered++;
         double share = nowNs - entry.reportedNs > REPORT_LIFETIME_NS ? 1 : entry.share;
@@ -53,16 +66,10 @@
         return true;
     }
 
-    private Entry entry(Target target, long nowNs) {
-        Entry entry = entries.get(target);
-        if (entry == null) {
-            if (entries.size() >= MAX_ENTRIES) {
-                entries.values().removeIf(old -> nowNs - old.reportedNs > REPORT_LIFETIME_NS);
-            }
-            entry = new Entry(nowNs);
-            entries.put(target, entry);
+    private void forgetOld(long nowNs) {
+        if (entries.size() >= MAX_ENTRIES) {
+            entries.values().removeIf(old -> nowNs - old.reportedNs > REPORT_LIFETIME_NS);
         }
-        return entry;
     }
 
     /** Rank at one owner. */
