--- a/core/src/main/java/org/siskintiller/core/admission/AdmittedShare.java
+++ b/core/src/main/java/org/siskintiller/core/admission/AdmittedShare.java
@@ -2,7 +2,7 @@
 
 /** Share of recent requests of a rank that were admitted. Old counts lose half their weight every interval. */
 final class AdmittedShare {
-    private static final long HALF_LIFE_NS = 500_000_000L;
+    private static final long HALF_LIFE_NS = 200_000_000L;
 
     private double offered;
     private double admitted;
--- a/core/src/main/java/org/siskintiller/core/routing/FloodLimit.java
+++ b/core/src/main/java/org/siskintiller/core/routing/FloodLimit.java
@@ -20,7 +20,7 @@
     /** Requests in the window below which nothing is refused. */
     private static final double MIN_OFFERED = 20;
 
-    private static final long HALF_LIFE_NS = 1_000_000_000L;
+    private static final long HALF_LIFE_NS = 500_000_000L;
     /** Age at which a report no longer counts. */
     private static final long REPORT_LIFETIME_NS = 3_000_000_000L;
 
