--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/idempotency/package-info.java
@@ -0,0 +1,2 @@
+/** Records of non-idempotent requests and their storage in two places. */
+package org.siskintiller.core.idempotency;
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Recognition of requests that crash backend servers. */
+package org.siskintiller.core.quarantine;
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Retry budget and policy. */
+package org.siskintiller.core.retry;
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Ingress rules, tried in order. */
+package org.siskintiller.core.routing;
