--- a/core/src/main/java/org/siskintiller/core/idempotency/Idempotency.java
+++ b/core/src/main/java/org/siskintiller/core/idempotency/Idempotency.java
@@ -25,10 +25,12 @@
     private final RecordTable table = new RecordTable();
     private final SecondPlace secondPlace;
     private final Map<SlotId, OpenRecords> open = new HashMap<>();
+    private final Map<SlotId, Optional<Incarnation>> standbys = new HashMap<>();
     private final Map<SlotId, SlotMarker> markers = new HashMap<>();
     private final Set<RecordKey> active = new HashSet<>();
     private final Set<SlotId> reading = new HashSet<>();
     private final Set<SlotId> toRead = new HashSet<>();
+    private boolean copying = true;
     private KeyWindow window = KeyWindow.DEFAULT;
     private long oldestAcceptedMs = Long.MIN_VALUE;
 
@@ -51,52 +53,63 @@
      * Opens a slot or changes its standby.
      *
      * @param version version of the slot's assignment
-     * @param first whether nobody can have served the slot before
-     * @param recordsComplete whether the control plane knows of no loss of records
+     * @param recordsComplete whether every earlier owner has handed over its records; otherwise only a valid marker
+     *     shows that this companion was a synchronised standby of the lost owner
      * @param readStream whether records may be in the requests stream
      */
     public void open(
-            SlotId slot,
-            long version,
-            boolean first,
-            Incarnation standby,
-            boolean recordsComplete,
-            boolean readStream,
-            long wallMs) {
+            SlotId slot, long version, Incarnation standby, boolean recordsComplete, boolean readStream, long wallMs) {
         SlotMarker marker = markers.remove(slot);
         OpenRecords known = open.get(slot);
         long unknownBeforeMs;
         if (known != null) {
             unknownBeforeMs = known.unknownBeforeMs;
-        } else if (!recordsComplete || !first && (marker == null || !marker.validAt(version))) {
-            unknownBeforeMs = wallMs + window.skewMs();
-        } else {
+        } else if (recordsComplete || marker != null && marker.validAt(version)) {
             unknownBeforeMs = marker == null ? Long.MIN_VALUE : marker.unknownBeforeMs();
+        } else {
+            unknownBeforeMs = wallMs + window.skewMs();
         }
         open.put(slot, new OpenRecords(version, unknownBeforeMs));
         if (readStream && known == null) {
             toRead.add(slot);
             readStreamIfDue();
         }
-        secondPlace.assign(slot, standby);
+        standbys.put(slot, standby == null ? Optional.empty() : Optional.of(standby));
+        if (copying) {
+            secondPlace.assign(slot, standby);
+        }
+    }
+
+    /** Turns the copying of open slots on or off. An idempotent service has no records to copy. */
+    public void setCopying(boolean needed) {
+        if (needed && !copying) {
+            standbys.forEach((slot, standby) -> secondPlace.assign(slot, standby.orElse(null)));
+        } else if (!needed && copying) {
+            standbys.keySet().forEach(slot -> secondPlace.unassign(slot).forEach(sink::recordNotStored));
+        }
+        copying = needed;
     }
 
     /**
      * Closes a slot of which nothing runs any more. Its records stay, since this companion may become its standby.
      *
      * @param version version that the slot is released for
-     * @return all records of the slot, with a marker if they are complete
+     * @param budget bounds the answers among the records
+     * @return all records of the slot, with a marker if it was open
      */
-    public List<RequestRecord> release(SlotId slot, long version) {
+    public List<RequestRecord> release(SlotId slot, long version, long wallMs, BodyBudget budget) {
         List<RequestRecord> records = new ArrayList<>();
         OpenRecords opened = open.remove(slot);
-        if (opened != null && !reading.contains(slot) && !toRead.contains(slot)) {
-            records.add(new SlotMarker(slot, version, true, opened.unknownBeforeMs).toRecord());
+        if (opened != null) {
+            boolean unread = reading.contains(slot) || toRead.contains(slot);
+            long unknownBeforeMs = unread ? wallMs + window.skewMs() : opened.unknownBeforeMs;
+            records.add(new SlotMarker(slot, version, true, unknownBeforeMs).toRecord());
         }
+        standbys.remove(slot);
         toRead.remove(slot);
         reading.remove(slot);
         secondPlace.unassign(slot).forEach(sink::recordNotStored);
-        records.addAll(table.ofSlot(slot));
+        records.addAll(budget.apply(table.ofSlot(slot)));
         return records;
     }
 
@@ -148,19 +161,19 @@
 
     /** Records that the request was answered. Returns the stored record. */
     public RequestRecord complete(RequestRecord started, int status, String contentType, Bytes body) {
-        Bytes kept = body.size() > MAX_STORED_BODY_BYTES ? Bytes.EMPTY : body;
-        return end(started, RequestState.COMPLETED, status, contentType, kept);
+        RequestRecord outcome = outcome(started, RequestState.COMPLETED, status, contentType, body);
+        return end(body.size() > MAX_STORED_BODY_BYTES ? BodyBudget.withoutBody(outcome) : outcome);
     }
 
     /** Records that the request may have run but has no answer. */
     public void unknown(RequestRecord started) {
-        end(started, RequestState.UNKNOWN, 0, "", Bytes.EMPTY);
+        end(outcome(started, RequestState.UNKNOWN, 0, "", Bytes.EMPTY));
     }
 
     /** Records that the request did not run. Its key may be used again. */
     public void notRun(RequestRecord started) {
         secondPlace.cancel(started);
-        end(started, RequestState.NOT_RUN, 0, "", Bytes.EMPTY);
+        end(outcome(started, RequestState.NOT_RUN, 0, "", Bytes.EMPTY));
     }
 
     /** Merges records of another owner or of the requests stream. Own attempts are known better here. */
@@ -211,8 +224,16 @@
         return table.size();
     }
 
-    private RequestRecord end(RequestRecord started, RequestState state, int status, String contentType, Bytes body) {
-        RequestRecord outcome = new RequestRecord(
+    private RequestRecord end(RequestRecord outcome) {
+        active.remove(RecordKey.of(outcome));
+        table.merge(outcome);
+        secondPlace.update(outcome);
+        return outcome;
+    }
+
+    private static RequestRecord outcome(
+            RequestRecord started, RequestState state, int status, String contentType, Bytes body) {
+        return new RequestRecord(
                 started.slot(),
                 started.idempotencyKey(),
                 started.digest(),
@@ -221,10 +242,6 @@
                 contentType,
                 body,
                 started.recordedAtMs());
-        active.remove(RecordKey.of(started));
-        table.merge(outcome);
-        secondPlace.update(outcome);
-        return outcome;
     }
 
     private Lookup.Kind kindOf(RequestRecord record, RecordKey key, long digest) {
