Add gauges and the companion's own audit entries

Operators need the queue, the lease and the versions in the metrics, and changes that a companion makes by itself in the audit trail: a retired incarnation, a graceful stop, a backend server that stops or resumes serving. Audit entries are appended again until stored, with the same operation id.

--- a/node/src/main/java/org/siskintiller/node/runtime/CompanionRuntime.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/CompanionRuntime.java
@@ -13,6 +13,7 @@
 import org.siskintiller.core.control.ControlNotice;
 import org.siskintiller.core.gate.GateEvent;
 import org.siskintiller.core.model.Address;
+import org.siskintiller.core.model.AuditEntry;
 import org.siskintiller.core.model.BackendServer;
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.model.PeerMessage;
@@ -27,6 +28,7 @@
 import org.siskintiller.node.backend.BackendClient;
 import org.siskintiller.node.http.CallerServer;
 import org.siskintiller.node.http.RequestParser;
+import org.siskintiller.node.log.AuditTrail;
 import org.siskintiller.node.operator.OperatorPages;
 import org.siskintiller.node.peer.PeerHandler;
 import org.siskintiller.node.peer.PeerStream;
@@ -46,6 +48,7 @@
     private final NodeMetrics metrics = new NodeMetrics();
     private final ExecutorService pumps = Threads.bounded("body", 4096);
     private final ScheduledExecutorService lifecycle = Threads.scheduled("lifecycle");
+    private final AuditTrail audit = new AuditTrail(Ids::operationId, lifecycle);
     private final CountDownLatch finished = new CountDownLatch(1);
     private PeerRequests peerRequests;
     private CallerServer callers;
@@ -81,6 +84,7 @@
                 ingress,
                 new OperatorPages(new RuntimeView(this), this::announced, metrics.registry()));
         callers.start();
+        metrics.register(this::generation, transport, callers);
         EventLog.log(LogEvent.LISTENING, "callers " + callers.address() + ", companions " + peerAddress);
     }
 
@@ -149,7 +153,8 @@
                 0,
                 -1,
                 false);
-        generation = new Generation(session, log, backend, this::send, this);
+        generation = new Generation(session, log, backend, this::send, this, audit);
+        audit.use(generation.appender());
         EventLog.log(LogEvent.STARTED, settings.instance() + " incarnation " + session.incarnation());
         generation.start();
     }
@@ -202,6 +207,7 @@
                 return;
             }
             EventLog.log(LogEvent.INCARNATION_RETIRED, retired.incarnation() + ": " + reason);
+            audit("incarnation", retired.incarnation().toString(), "retired", reason);
             retired.retire();
             if (stopping) {
                 handedOver = true;
@@ -221,6 +227,7 @@
             }
             stopping = true;
             EventLog.log(LogEvent.STOP_REQUESTED, requestedBy);
+            audit("graceful stop", "serving", "draining", "requested by " + requestedBy);
             if (generation == null) {
                 cleanStop = true;
                 finished.countDown();
@@ -283,7 +290,13 @@
 
     @Override
     public void backendChanged(boolean serving, String reason) {
-        EventLog.log(LogEvent.BACKEND_CHANGED, (serving ? "serving: " : "not serving: ") + reason);
+        String now = serving ? "serving" : "not serving";
+        EventLog.log(LogEvent.BACKEND_CHANGED, now + ": " + reason);
+        audit("backend server", serving ? "not serving" : "serving", now, reason);
+    }
+
+    private void audit(String what, String from, String to, String outcome) {
+        audit.record(new AuditEntry("companion " + settings.instance(), what, from, to, outcome));
     }
 
     @Override
--- a/node/src/main/java/org/siskintiller/node/runtime/Generation.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/Generation.java
@@ -23,6 +23,7 @@
 import org.siskintiller.node.backend.BackendClient;
 import org.siskintiller.node.backend.Grants;
 import org.siskintiller.node.backend.LoadPoller;
+import org.siskintiller.node.log.AuditTrail;
 import org.siskintiller.node.log.ControlAppender;
 import org.siskintiller.node.log.ControlStreamReader;
 import org.siskintiller.node.log.RequestsStream;
@@ -52,7 +53,13 @@
     private final ControlActions actions;
     private volatile LoadReport lastReport;
 
-    Generation(Session session, LogClient log, BackendClient backend, PeerSender peers, GenerationOwner owner) {
+    Generation(
+            Session session,
+            LogClient log,
+            BackendClient backend,
+            PeerSender peers,
+            GenerationOwner owner,
+            AuditTrail audit) {
         this.session = session;
         String service = session.backendServer().service();
         load = new LoadMeter(service, Clock.nowNs());
@@ -63,7 +70,7 @@
         gate = new GateDriver(new Gate(session.backendServer(), session.incarnation()), gateActions, backend, cancels);
         slots = new SlotGate(gate, grants, () -> control.state());
         requests = new RequestsStream(log, Ids::operationId, gate::submit, service, Threads.factory("requests"));
-        appender = new ControlAppender(log, control::submit);
+        appender = new ControlAppender(log, audit.filter(control::submit));
         reader = new ControlStreamReader(log, control::apply);
         poller = new LoadPoller(backend, gate::submit);
         actions = new ControlActions(this, peers, owner, gateActions);
--- a/node/src/main/java/org/siskintiller/node/runtime/NodeMetrics.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/NodeMetrics.java
@@ -1,9 +1,14 @@
 package org.siskintiller.node.runtime;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import org.siskintiller.node.http.CallerServer;
+import org.siskintiller.node.peer.PeerTransport;
 
 /** Metrics of the companion. */
 public final class NodeMetrics {
@@ -29,8 +34,28 @@
         registry.counter("control." + name).inc();
     }
 
-    /** Registers a gauge unless it is known already. */
-    void gauge(String name, Gauge<? extends Number> gauge) {
+    /** Registers gauges of the present incarnation and the sockets. */
+    void register(Supplier<Optional<Generation>> generation, PeerTransport transport, CallerServer callers) {
+        gauge("callers", callers::running);
+        gauge("peer_connections", transport::connectionCount);
+        gauge(generation, "lease_held", present -> present.control().holdsLease() ? 1 : 0);
+        gauge(generation, "log_available", present -> present.logAvailable() ? 1 : 0);
+        gauge(generation, "applied_offset", present -> present.control().state().appliedOffset());
+        gauge(generation, "config_version", present -> present.control().state().configVersion());
+        gauge(generation, "open_sessions", present -> present.control().state().openSessionCount());
+        gauge(generation, "open_slots", present -> present.gate().stats().openSlots());
+        gauge(generation, "gate_queued", present -> present.gate().stats().queued());
+        gauge(generation, "gate_in_flight", present -> present.gate().stats().inFlight());
+        gauge(generation, "gate_limit", present -> present.gate().stats().limit());
+        gauge(generation, "gate_dispatched", present -> present.gate().stats().dispatched());
+    }
+
+    private void gauge(Supplier<Optional<Generation>> generation, String name, Function<Generation, Number> value) {
+        gauge(name, () -> generation.get().map(value).orElse(0));
+    }
+
+    private void gauge(String name, Supplier<Number> value) {
+        Gauge<Number> gauge = value::get;
         registry.gauge(name, () -> gauge);
     }
 }
