Let a retired incarnation answer as a witness and await a lost backend server

Cause: a retired incarnation fell silent at once, so sessions that it witnessed could lose their leases; and a new session opened at once for a backend server that had just been lost. Change: a retired control plane keeps receiving messages while it is a witness; a session opens only after a new announcement, later after each further loss. A stopping companion refuses new callers after its slots are handed over and exits when several checks in a row find nothing running; an operator's drain stops new work after 2 s as well.

--- a/node/src/main/java/org/siskintiller/node/http/CallerServer.java
+++ b/node/src/main/java/org/siskintiller/node/http/CallerServer.java
@@ -37,6 +37,7 @@
     private final Limits limits;
     private final RequestHandler handler;
     private final OperatorPaths operatorPaths;
+    private volatile boolean draining;
 
     public CallerServer(
             Address address, Limits limits, RequestParser parser, RequestHandler handler, OperatorPaths operatorPaths)
@@ -118,9 +119,21 @@
             operatorPaths.handle(exchange);
             return;
         }
+        if (draining) {
+            rejectAndClose(
+                    exchange,
+                    sink,
+                    Problem.notRun(503, "draining", "the companion is leaving", "use another companion"));
+            return;
+        }
         serve(exchange, sink);
     }
 
+    /** Refuses new requests from now on and closes their connections, so that callers turn to other companions. */
+    public void drain() {
+        draining = true;
+    }
+
     private void serve(HttpExchange exchange, ExchangeSink sink) throws IOException {
         if (!exchange.getProtocol().equalsIgnoreCase("HTTP/1.1")) {
             // A cut response to an HTTP/1.0 caller would look complete, since the end of the connection ends the body.
--- a/node/src/main/java/org/siskintiller/node/runtime/CompanionRuntime.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/CompanionRuntime.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.ScheduledExecutorService;
@@ -41,6 +43,11 @@
     /** Upper bound of the time in which a leaving backend server may still get new work, below the promised 3 s. */
     private static final long DRAIN_AFTER_MS = 2000;
 
+    /** A caller may just have sent a request on an idle connection, so several checks in a row must find nothing. */
+    private static final int QUIET_CHECKS = 5;
+
+    private static final long QUIET_CHECK_MS = 50;
+
     private final CompanionSettings settings;
     private final LogClient log;
     private final PeerTransport transport = new PeerTransport(this);
@@ -55,11 +62,14 @@
     private Address peerAddress;
     private BackendClient backend;
     private volatile Generation generation;
+    private final List<Generation> witnesses = new CopyOnWriteArrayList<>();
+    private final BackendReadiness readiness = new BackendReadiness();
     private volatile ClusterState earlierState;
     private volatile boolean stopping;
     private volatile boolean cleanStop;
     private boolean handedOver;
     private boolean drained;
+    private int quietChecks;
 
     public CompanionRuntime(CompanionSettings settings, LogClient log) {
         this.settings = settings;
@@ -135,6 +145,9 @@
             return;
         }
         backend.moveTo(server.address());
+        if (readiness.announced(Clock.nowNs())) {
+            generation.backendServerReady();
+        }
         if (announcement.leaving() && !stopping) {
             EventLog.log(LogEvent.BACKEND_LEAVING, server.toString());
             stop("backend server");
@@ -149,7 +162,7 @@
                 callers.address(),
                 peerAddress,
                 server,
-                java.util.List.of(),
+                List.of(),
                 0,
                 -1,
                 false);
@@ -187,6 +200,9 @@
         if (own != null) {
             own.control().submit(new ControlEvent.MessageReceived(message));
         }
+        for (Generation retired : witnesses) {
+            retired.control().submit(new ControlEvent.MessageReceived(message));
+        }
     }
 
     @Override
@@ -208,14 +224,19 @@
             }
             EventLog.log(LogEvent.INCARNATION_RETIRED, retired.incarnation() + ": " + reason);
             audit("incarnation", retired.incarnation().toString(), "retired", reason);
-            retired.retire();
+            witnesses.add(retired);
+            retired.retire(() -> witnesses.remove(retired));
             if (stopping) {
                 handedOver = true;
+                callers.drain();
                 finishIfQuiet();
                 return;
             }
             earlierState = retired.control().state();
             begin(retired.session().backendServer());
+            if (readiness.recentlyAnnounced(Clock.nowNs())) {
+                generation.backendServerReady();
+            }
         });
     }
 
@@ -249,10 +270,18 @@
             stopping = true;
             handedOver = true;
             drain();
+            callers.drain();
             finishIfQuiet();
         });
     }
 
+    /** An operator asked for the drain of this session. */
+    @Override
+    public void draining(Generation leaving) {
+        lifecycle.schedule(
+                () -> leaving.gate().submit(new GateEvent.DrainStarted()), DRAIN_AFTER_MS, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void drained(Generation quiet) {
         lifecycle.execute(() -> {
@@ -266,11 +295,12 @@
             return;
         }
         boolean quiet = (drained || generation.gate().inFlight() == 0) && callers.running() == 0;
-        if (quiet) {
+        quietChecks = quiet ? quietChecks + 1 : 0;
+        if (quietChecks >= QUIET_CHECKS) {
             cleanStop = true;
             finished.countDown();
         } else {
-            lifecycle.schedule(this::finishIfQuiet, 50, TimeUnit.MILLISECONDS);
+            lifecycle.schedule(this::finishIfQuiet, QUIET_CHECK_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -290,6 +320,9 @@
 
     @Override
     public void backendChanged(boolean serving, String reason) {
+        if (!serving) {
+            lifecycle.execute(() -> readiness.lost(Clock.nowNs()));
+        }
         String now = serving ? "serving" : "not serving";
         EventLog.log(LogEvent.BACKEND_CHANGED, now + ": " + reason);
         audit("backend server", serving ? "not serving" : "serving", now, reason);
--- a/node/src/main/java/org/siskintiller/node/runtime/ControlActions.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/ControlActions.java
@@ -5,6 +5,7 @@
 
 import org.siskintiller.core.control.ControlAction;
 import org.siskintiller.core.gate.GateEvent;
+import org.siskintiller.core.model.Session;
 import org.siskintiller.core.model.StateImage.RemovedCustomer;
 import org.siskintiller.core.replay.ClusterState;
 
@@ -16,6 +17,7 @@
     private final GateActions gateActions;
     private long configVersion = -1;
     private int removedCustomers = -1;
+    private boolean draining;
 
     ControlActions(Generation generation, PeerSender peers, GenerationOwner owner, GateActions gateActions) {
         this.generation = generation;
@@ -62,6 +64,13 @@
     }
 
     private void stateChanged(ClusterState state) {
+        if (!draining
+                && state.session(generation.incarnation())
+                        .map(Session::draining)
+                        .orElse(false)) {
+            draining = true;
+            owner.draining(generation);
+        }
         List<RemovedCustomer> removed = state.removedCustomers();
         if (state.configVersion() == configVersion && removed.size() == removedCustomers) {
             return;
--- a/node/src/main/java/org/siskintiller/node/runtime/Generation.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/Generation.java
@@ -34,6 +34,7 @@
     private static final long GATE_TICK_MS = 10;
     private static final long LOAD_POLL_MS = 500;
     private static final long LOAD_REPORT_MS = 2000;
+    private static final long SILENCE_CHECK_MS = 500;
     /** Counting the gate's queues for every response would cost more than the request. */
     private static final long LOAD_REPORT_LIFETIME_NS = 50_000_000L;
 
@@ -52,6 +53,7 @@
     private final LoadPoller poller;
     private final ControlActions actions;
     private volatile LoadReport lastReport;
+    private boolean backendServerReady;
 
     Generation(
             Session session,
@@ -87,7 +89,14 @@
         every(GATE_TICK_MS, () -> gate.submit(new GateEvent.Tick()));
         every(LOAD_POLL_MS, poller::poll);
         every(LOAD_REPORT_MS, () -> control.submit(load.take(Clock.nowNs())));
-        control.submit(new ControlEvent.BackendServerChanged(true));
+    }
+
+    /** The backend server is able to serve, so the session may open. Further calls have no effect. */
+    void backendServerReady() {
+        if (!backendServerReady) {
+            backendServerReady = true;
+            control.submit(new ControlEvent.BackendServerChanged(true));
+        }
     }
 
     private void every(long ms, Runnable task) {
@@ -176,29 +185,50 @@
         control.submit(new ControlEvent.SlotsQuiesced(quiesced.service(), quiesced.slots(), quiesced.records()));
     }
 
-    /** Refuses everything that waits; requests that run at the backend server go on. */
-    void retire() {
+    /**
+     * Refuses everything that waits; requests that run at the backend server go on. The control plane keeps answering
+     * as a witness, since others need its acks until they have replaced it.
+     */
+    void retire(Runnable onSilent) {
         gate.submit(new GateEvent.LeaseExtended(Long.MIN_VALUE));
         gate.submit(new GateEvent.DrainStarted());
-        close();
+        stopServing();
+        silenceCheck(onSilent);
     }
 
-    @Override
-    public void close() {
-        reader.stop();
+    private void silenceCheck(Runnable onSilent) {
+        if (control.witnessing()) {
+            after(SILENCE_CHECK_MS, () -> silenceCheck(onSilent));
+            return;
+        }
         control.close();
+        onSilent.run();
+        closeWhenQuiet();
+    }
+
+    private void stopServing() {
+        reader.stop();
         logThreads.shutdownNow();
         requests.close();
         slots.close();
-        // The gate's timer stays until nothing runs any more, so that deadlines of old requests still apply.
-        timer.scheduleWithFixedDelay(this::closeWhenQuiet, 1, 1, TimeUnit.SECONDS);
     }
 
+    @Override
+    public void close() {
+        stopServing();
+        control.close();
+        timer.shutdownNow();
+        cancels.shutdown();
+    }
+
+    /** The timer stays until nothing runs any more, so that deadlines of old requests still apply. */
     private void closeWhenQuiet() {
-        if (gate.inFlight() == 0) {
-            timer.shutdown();
-            cancels.shutdown();
+        if (gate.inFlight() > 0) {
+            after(SILENCE_CHECK_MS, this::closeWhenQuiet);
+            return;
         }
+        timer.shutdownNow();
+        cancels.shutdown();
     }
 
     /** Load of the gate, shared by the responses of a short time. */
--- a/node/src/main/java/org/siskintiller/node/runtime/GenerationOwner.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/GenerationOwner.java
@@ -10,6 +10,9 @@
     /** The control plane has handed everything over. */
     void stopped(Generation generation);
 
+    /** The own session is to be drained. */
+    void draining(Generation generation);
+
     /** Nothing runs at the gate any more. */
     void drained(Generation generation);
 
