--- a/core/src/main/java/org/siskintiller/core/session/SessionTiming.java
+++ b/core/src/main/java/org/siskintiller/core/session/SessionTiming.java
@@ -6,11 +6,11 @@
     public static final long HEARTBEAT_INTERVAL_MS = 400;
     /** Clocks of two machines differ in rate by at most this much. */
     public static final long DRIFT_PERCENT = 1;
-    /** A companion without its lease for this long retires its incarnation and opens a new session. */
+    /** A companion without its lease for this long retires its incarnation. */
     public static final long RETIREMENT_MS = 5_000;
     /**
-     * A companion without its lease for this long acks no more as a witness. Between retirement and silence others can
-     * replace it by its new incarnation while they still have its acks.
+     * A companion without its lease for this long acks no more as a witness. Between retirement and silence the sessions
+     * that it witnesses can replace it while they still have its acks.
      */
     public static final long WITNESS_SILENCE_MS = 10_000;
     /** Interval at which unanswered claims, releases and lapse notices are repeated. */
