--- a/node/src/main/java/org/siskintiller/node/runtime/CompanionRuntime.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/CompanionRuntime.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.ScheduledExecutorService;
@@ -62,7 +61,6 @@
     private Address peerAddress;
     private BackendClient backend;
     private volatile Generation generation;
-    private final List<Generation> witnesses = new CopyOnWriteArrayList<>();
     private final BackendReadiness readiness = new BackendReadiness();
     private volatile ClusterState earlierState;
     private volatile boolean stopping;
@@ -200,9 +198,6 @@
         if (own != null) {
             own.control().submit(new ControlEvent.MessageReceived(message));
         }
-        for (Generation retired : witnesses) {
-            retired.control().submit(new ControlEvent.MessageReceived(message));
-        }
     }
 
     @Override
@@ -224,8 +219,7 @@
             }
             EventLog.log(LogEvent.INCARNATION_RETIRED, retired.incarnation() + ": " + reason);
             audit("incarnation", retired.incarnation().toString(), "retired", reason);
-            witnesses.add(retired);
-            retired.retire(() -> witnesses.remove(retired));
+            retired.retire();
             if (stopping) {
                 handedOver = true;
                 callers.drain();
--- a/node/src/main/java/org/siskintiller/node/runtime/ControlDriver.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/ControlDriver.java
@@ -25,7 +25,6 @@
     private final ScheduledExecutorService thread = Threads.scheduled("control");
     private volatile ClusterState state;
     private volatile boolean holdsLease;
-    private volatile boolean witnessing = true;
     private boolean failed;
 
     ControlDriver(ControlPlane plane, Consumer<ControlAction> effects, Consumer<RuntimeException> onFailure) {
@@ -75,11 +74,6 @@
         return holdsLease;
     }
 
-    /** Whether a retired incarnation still answers as a witness; meaningless before it retires. */
-    boolean witnessing() {
-        return witnessing;
-    }
-
     private void step(ControlEvent event) {
         if (failed) {
             return;
@@ -88,7 +82,6 @@
             List<ControlAction> actions = plane.handle(event, Clock.nowNs());
             state = plane.state();
             holdsLease = plane.holdsLease(Clock.nowNs());
-            witnessing = plane.isWitnessing(Clock.nowNs());
             actions.forEach(effects);
         } catch (RuntimeException e) {
             // After a violated invariant nothing that this process decides can be trusted.
--- a/node/src/main/java/org/siskintiller/node/runtime/Generation.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/Generation.java
@@ -34,7 +34,7 @@
     private static final long GATE_TICK_MS = 10;
     private static final long LOAD_POLL_MS = 500;
     private static final long LOAD_REPORT_MS = 2000;
-    private static final long SILENCE_CHECK_MS = 500;
+    private static final long QUIET_CHECK_MS = 500;
     /** Counting the gate's queues for every response would cost more than the request. */
     private static final long LOAD_REPORT_LIFETIME_NS = 50_000_000L;
 
@@ -185,24 +185,12 @@
         control.submit(new ControlEvent.SlotsQuiesced(quiesced.service(), quiesced.slots(), quiesced.records()));
     }
 
-    /**
-     * Refuses everything that waits; requests that run at the backend server go on. The control plane keeps answering
-     * as a witness, since others need its acks until they have replaced it.
-     */
-    void retire(Runnable onSilent) {
+    /** Refuses everything that waits; requests that run at the backend server go on. */
+    void retire() {
         gate.submit(new GateEvent.LeaseExtended(Long.MIN_VALUE));
         gate.submit(new GateEvent.DrainStarted());
         stopServing();
-        silenceCheck(onSilent);
-    }
-
-    private void silenceCheck(Runnable onSilent) {
-        if (control.witnessing()) {
-            after(SILENCE_CHECK_MS, () -> silenceCheck(onSilent));
-            return;
-        }
         control.close();
-        onSilent.run();
         closeWhenQuiet();
     }
 
@@ -224,7 +212,7 @@
     /** The timer stays until nothing runs any more, so that deadlines of old requests still apply. */
     private void closeWhenQuiet() {
         if (gate.inFlight() > 0) {
-            after(SILENCE_CHECK_MS, this::closeWhenQuiet);
+            after(QUIET_CHECK_MS, this::closeWhenQuiet);
             return;
         }
         timer.shutdownNow();
--- a/node/src/main/java/org/siskintiller/node/runtime/PeerBoard.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/PeerBoard.java
@@ -18,6 +18,8 @@
     /** Longer than a takeover, so that requests go to the successor first once it serves. */
     private static final long SUSPECT_NS = TimeUnit.SECONDS.toNanos(3);
 
+    private static final long PROBE_INTERVAL_NS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private static final int MAX_ENTRIES = 20_000;
 
     private final Map<Incarnation, Entry> entries = new ConcurrentHashMap<>();
@@ -39,8 +41,12 @@
     /** The companion could not be reached or did not answer. */
     void suspect(Incarnation incarnation) {
         Entry entry = entry(incarnation);
-        entry.suspectUntilNs = Clock.nowNs() + SUSPECT_NS;
-        entry.suspected = true;
+        long nowNs = Clock.nowNs();
+        entry.suspectUntilNs = nowNs + SUSPECT_NS;
+        synchronized (entry) {
+            entry.probedNs = entry.suspected ? entry.probedNs : nowNs;
+            entry.suspected = true;
+        }
     }
 
     void answered(Incarnation incarnation) {
@@ -52,6 +58,22 @@
         return entry != null && entry.suspected && entry.suspectUntilNs - Clock.nowNs() > 0;
     }
 
+    /** Like isSuspect, but lets one request through now and then, so that a false suspicion ends soon. */
+    boolean isPassedOver(Incarnation incarnation) {
+        if (!isSuspect(incarnation)) {
+            return false;
+        }
+        Entry entry = entry(incarnation);
+        long nowNs = Clock.nowNs();
+        synchronized (entry) {
+            if (nowNs - entry.probedNs < PROBE_INTERVAL_NS) {
+                return true;
+            }
+            entry.probedNs = nowNs;
+            return false;
+        }
+    }
+
     /** Candidates for requests of the service that need no owner. */
     List<Candidate> candidates(ClusterState state, String service) {
         long nowNs = Clock.nowNs();
@@ -86,6 +108,7 @@
         private volatile long reportedNs;
         private volatile long suspectUntilNs;
         private volatile boolean suspected;
+        private long probedNs;
 
         Entry(long nowNs) {
             firstSeenNs = nowNs;
--- a/node/src/main/java/org/siskintiller/node/runtime/RemoteCall.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/RemoteCall.java
@@ -76,7 +76,9 @@
             return unreachable((StreamFailedException) e.getCause());
         } catch (TimeoutException e) {
             stream.reset(Outcome.UNKNOWN, "the deadline passed");
-            return unreachable(new StreamFailedException(Outcome.UNKNOWN, "no answer within the deadline"));
+            // Says nothing about the companion, which may wait for its backend server. A dead connection is noticed
+            // by its missing pings.
+            return failed(new StreamFailedException(Outcome.UNKNOWN, "no answer within the deadline"), false);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             stream.reset(Outcome.UNKNOWN, "the companion stops");
@@ -163,6 +165,10 @@
     }
 
     private static Attempt unreachable(StreamFailedException cause) {
+        return failed(cause, true);
+    }
+
+    private static Attempt failed(StreamFailedException cause, boolean unreachable) {
         boolean notRun = cause.outcome() == Outcome.NOT_RUN;
         return new Attempt.Failed(
                 new Problem(
@@ -172,7 +178,7 @@
                         cause.outcome(),
                         notRun ? "retry" : "repeat with the same Idempotency-Key, or if the request is idempotent",
                         0),
-                true);
+                unreachable);
     }
 
     private static Proto.RequestHead.Builder requestHead(GatedRequest request) {
--- a/node/src/main/java/org/siskintiller/node/runtime/Routing.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/Routing.java
@@ -87,7 +87,7 @@
             if (!state.isOpen(candidate) || excluded.contains(candidate)) {
                 continue;
             }
-            if (!board.isSuspect(candidate)) {
+            if (!board.isPassedOver(candidate)) {
                 return Optional.of(candidate);
             }
             fallback = fallback == null ? candidate : fallback;
