Publish in the demo when all sessions are open

The first assignment gave all slots to the one session that was open, and planned moves spread them at 60 a minute, so the demo showed an uneven deployment.

--- a/demo.sh
+++ b/demo.sh
@@ -98,6 +98,10 @@
     request "$(http_port "$1")"
 }
 
+all_open() {
+    ctl status --json | grep -q "\"openSessions\" : $COMPANIONS"
+}
+
 if [ "${SKIP_BUILD:-0}" != 1 ]; then
     step "Build"
     mvn -B -ntp -q -DskipTests package
@@ -123,6 +127,9 @@
     backend_pid[i]=$!
 done
 
+# The first assignment spreads the slots over the sessions that are open; later ones get slots by planned moves.
+await 60 all_open
+
 step "Publish the configuration of deploy/landesstelle"
 ctl config publish deploy/landesstelle/cluster.ini | head -n 2
 await 20 serving 1
