--- a/demo.sh
+++ b/demo.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds everything and runs a small deployment on loopback: log stand-in, six companions with backend stand-ins in
+# Builds the programs and runs a small deployment on loopback: log stand-in, six companions with backend stand-ins in
 # three failure domains, callers. Shows ownership, requests by rank, the loss of an owner and a preset switch, and ends
 # by itself. Set SKIP_BUILD=1 to use jars that are built already.
 set -euo pipefail
@@ -104,7 +104,7 @@
 
 if [ "${SKIP_BUILD:-0}" != 1 ]; then
     step "Build"
-    mvn -B -ntp -q -DskipTests package
+    mvn -B -ntp -q -DskipTests package -pl node,ctl,standin -am
 fi
 
 step "Start the log, $COMPANIONS companions in three failure domains and their backend servers"
