--- a/core/src/test/java/org/siskintiller/core/placement/PlacementWorld.java
+++ b/core/src/test/java/org/siskintiller/core/placement/PlacementWorld.java
@@ -62,9 +62,6 @@
 
     void join(int id, int failureDomains) {
         Address address = new Address("127.0.0.1", 1 + id);
-        // Only the first session opens without witnesses.
-        List<Incarnation> sessions = state.sessionsOf(SERVICE);
-        List<Incarnation> witnesses = sessions.isEmpty() ? List.of() : List.of(sessions.get(0));
         append(new LogRecord.SessionOpened(new Session(
                 new Incarnation(id),
                 "i" + id,
@@ -72,12 +69,13 @@
                 address,
                 address,
                 new BackendServer(SERVICE, address, 12, 130),
-                witnesses,
+                id == 0 ? List.of() : List.of(new Incarnation(0)),
                 0,
                 -1,
                 false)));
     }
 
+    /** Ends a session. Session 0 is the witness of the others and stays. */
     void lose(int id, int by) {
         append(new LogRecord.SessionEnded(new Incarnation(id), new Incarnation(by), state.appliedOffset()));
     }
--- a/node/src/main/java/org/siskintiller/node/runtime/CompanionRuntime.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/CompanionRuntime.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -13,6 +14,7 @@
 import org.siskintiller.core.control.ControlNotice;
 import org.siskintiller.core.gate.GateEvent;
 import org.siskintiller.core.model.Address;
+import org.siskintiller.core.model.AuditEntry;
 import org.siskintiller.core.model.BackendServer;
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.model.PeerMessage;
@@ -27,6 +29,7 @@
 import org.siskintiller.node.backend.BackendClient;
 import org.siskintiller.node.http.CallerServer;
 import org.siskintiller.node.http.RequestParser;
+import org.siskintiller.node.log.AuditTrail;
 import org.siskintiller.node.operator.OperatorPages;
 import org.siskintiller.node.peer.PeerHandler;
 import org.siskintiller.node.peer.PeerStream;
@@ -39,6 +42,11 @@
     /** Upper bound of the time in which a leaving backend server may still get new work, below the promised 3 s. */
     private static final long DRAIN_AFTER_MS = 2000;
 
+    /** A caller may just have sent a request on an idle connection, so several checks in a row must find nothing. */
+    private static final int QUIET_CHECKS = 5;
+
+    private static final long QUIET_CHECK_MS = 50;
+
     private final CompanionSettings settings;
     private final LogClient log;
     private final PeerTransport transport = new PeerTransport(this);
@@ -46,17 +54,20 @@
     private final NodeMetrics metrics = new NodeMetrics();
     private final ExecutorService pumps = Threads.bounded("body", 4096);
     private final ScheduledExecutorService lifecycle = Threads.scheduled("lifecycle");
+    private final AuditTrail audit = new AuditTrail(Ids::operationId, lifecycle);
     private final CountDownLatch finished = new CountDownLatch(1);
     private PeerRequests peerRequests;
     private CallerServer callers;
     private Address peerAddress;
     private BackendClient backend;
     private volatile Generation generation;
+    private final BackendReadiness readiness = new BackendReadiness();
     private volatile ClusterState earlierState;
     private volatile boolean stopping;
     private volatile boolean cleanStop;
     private boolean handedOver;
     private boolean drained;
+    private int quietChecks;
 
     public CompanionRuntime(CompanionSettings settings, LogClient log) {
         this.settings = settings;
@@ -81,6 +92,7 @@
                 ingress,
                 new OperatorPages(new RuntimeView(this), this::announced, metrics.registry()));
         callers.start();
+        metrics.register(this::generation, transport, callers);
         EventLog.log(LogEvent.LISTENING, "callers " + callers.address() + ", companions " + peerAddress);
     }
 
@@ -131,6 +143,9 @@
             return;
         }
         backend.moveTo(server.address());
+        if (readiness.announced(Clock.nowNs())) {
+            generation.backendServerReady();
+        }
         if (announcement.leaving() && !stopping) {
             EventLog.log(LogEvent.BACKEND_LEAVING, server.toString());
             stop("backend server");
@@ -145,11 +160,12 @@
                 callers.address(),
                 peerAddress,
                 server,
-                java.util.List.of(),
+                List.of(),
                 0,
                 -1,
                 false);
-        generation = new Generation(session, log, backend, this::send, this);
+        generation = new Generation(session, log, backend, this::send, this, audit);
+        audit.use(generation.appender());
         EventLog.log(LogEvent.STARTED, settings.instance() + " incarnation " + session.incarnation());
         generation.start();
     }
@@ -202,14 +218,19 @@
                 return;
             }
             EventLog.log(LogEvent.INCARNATION_RETIRED, retired.incarnation() + ": " + reason);
+            audit("incarnation", retired.incarnation().toString(), "retired", reason);
             retired.retire();
             if (stopping) {
                 handedOver = true;
+                callers.drain();
                 finishIfQuiet();
                 return;
             }
             earlierState = retired.control().state();
             begin(retired.session().backendServer());
+            if (readiness.recentlyAnnounced(Clock.nowNs())) {
+                generation.backendServerReady();
+            }
         });
     }
 
@@ -221,6 +242,7 @@
             }
             stopping = true;
             EventLog.log(LogEvent.STOP_REQUESTED, requestedBy);
+            audit("graceful stop", "serving", "draining", "requested by " + requestedBy);
             if (generation == null) {
                 cleanStop = true;
                 finished.countDown();
@@ -242,10 +264,18 @@
             stopping = true;
             handedOver = true;
             drain();
+            callers.drain();
             finishIfQuiet();
         });
     }
 
+    /** An operator asked for the drain of this session. */
+    @Override
+    public void draining(Generation leaving) {
+        lifecycle.schedule(
+                () -> leaving.gate().submit(new GateEvent.DrainStarted()), DRAIN_AFTER_MS, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void drained(Generation quiet) {
         lifecycle.execute(() -> {
@@ -259,11 +289,12 @@
             return;
         }
         boolean quiet = (drained || generation.gate().inFlight() == 0) && callers.running() == 0;
-        if (quiet) {
+        quietChecks = quiet ? quietChecks + 1 : 0;
+        if (quietChecks >= QUIET_CHECKS) {
             cleanStop = true;
             finished.countDown();
         } else {
-            lifecycle.schedule(this::finishIfQuiet, 50, TimeUnit.MILLISECONDS);
+            lifecycle.schedule(this::finishIfQuiet, QUIET_CHECK_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -283,7 +314,16 @@
 
     @Override
     public void backendChanged(boolean serving, String reason) {
-        EventLog.log(LogEvent.BACKEND_CHANGED, (serving ? "serving: " : "not serving: ") + reason);
+        if (!serving) {
+            lifecycle.execute(() -> readiness.lost(Clock.nowNs()));
+        }
+        String now = serving ? "serving" : "not serving";
+        EventLog.log(LogEvent.BACKEND_CHANGED, now + ": " + reason);
+        audit("backend server", serving ? "not serving" : "serving", now, reason);
+    }
+
+    private void audit(String what, String from, String to, String outcome) {
+        audit.record(new AuditEntry("companion " + settings.instance(), what, from, to, outcome));
     }
 
     @Override
