--- a/node/src/main/java/org/siskintiller/node/runtime/ControlActions.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/ControlActions.java
@@ -8,6 +8,8 @@
 import org.siskintiller.core.model.Session;
 import org.siskintiller.core.model.StateImage.RemovedCustomer;
 import org.siskintiller.core.replay.ClusterState;
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
 
 /** Carries out the actions of the control plane, on its thread. */
 final class ControlActions {
@@ -75,6 +77,12 @@
         if (state.configVersion() == configVersion && removed.size() == removedCustomers) {
             return;
         }
+        if (state.configVersion() != configVersion) {
+            EventLog.log(
+                    LogEvent.CONFIG_IN_FORCE,
+                    "version " + state.configVersion() + ", preset "
+                            + state.config().activePreset());
+        }
         configVersion = state.configVersion();
         removedCustomers = removed.size();
         List<String> names = new ArrayList<>();
--- a/node/src/main/java/org/siskintiller/node/runtime/Ingress.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/Ingress.java
@@ -22,6 +22,8 @@
 import org.siskintiller.core.retry.RetryDecision;
 import org.siskintiller.core.routing.IngressRequest;
 import org.siskintiller.core.routing.RouteDecision;
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
 import org.siskintiller.node.request.InboundRequest;
 import org.siskintiller.node.request.Problem;
 import org.siskintiller.node.request.RequestHandler;
@@ -239,6 +241,7 @@
 
     private void refuse(InboundRequest inbound, Problem problem) throws IOException {
         metrics.refused(problem.type());
+        EventLog.log(LogEvent.REQUEST_REFUSED, inbound.head().id() + " " + problem.type() + ": " + problem.detail());
         if (!inbound.sink().started()) {
             inbound.sink().refuse(problem);
         }
