Give the tool's test sessions a witness

Replay now refuses a session without witnesses beside open sessions, since nobody could end it. The assertions are unchanged.

--- a/ctl/src/test/java/org/siskintiller/ctl/CtlRig.java
+++ b/ctl/src/test/java/org/siskintiller/ctl/CtlRig.java
@@ -62,6 +62,7 @@
         return ((Parsed.Ok<ClusterConfig>) ClusterConfigParser.parse("cluster.ini", text)).value();
     }
 
+    /** Session with the first one as its witness, since replay refuses one without witnesses beside open sessions. */
     static Session session(int number) {
         return new Session(
                 new Incarnation(number),
