Show in the audit trail which session a restart replaces

Replay ends an earlier session at the same peer address when the next one opens, without a record of its own, so the trail showed no end for it.

--- a/ctl/src/main/java/org/siskintiller/ctl/AuditTrail.java
+++ b/ctl/src/main/java/org/siskintiller/ctl/AuditTrail.java
@@ -71,7 +71,11 @@
         } else if (record instanceof LogRecord.SessionOpened opened) {
             Session session = opened.session();
             String what = "session of service " + session.backendServer().service() + " in " + session.failureDomain();
-            add(replayed, AuditKind.SESSION, names.name(before, session.incarnation()), what, "", "open");
+            String replaced = SessionNames.replaced(before, session).stream()
+                    .map(each -> names.name(before, each.incarnation()))
+                    .collect(Collectors.joining(", "));
+            String to = replaced.isEmpty() ? "open" : "open in place of " + replaced;
+            add(replayed, AuditKind.SESSION, names.name(before, session.incarnation()), what, "", to);
         } else if (record instanceof LogRecord.SessionEnded ended) {
             String what = "session " + names.name(before, ended.incarnation());
             add(replayed, AuditKind.SESSION, names.name(before, ended.endedBy()), what, "open", "ended by witnesses");
--- a/ctl/src/main/java/org/siskintiller/ctl/DepartureFindings.java
+++ b/ctl/src/main/java/org/siskintiller/ctl/DepartureFindings.java
@@ -18,7 +18,7 @@
     enum Kind {
         CONFIRMED("confirmed"),
         CLOSED("closed"),
-        ENDED("ended by its witnesses"),
+        ENDED("ended by its witnesses or a restart"),
         MISSING("no confirmation and no end");
 
         private final String label;
--- a/ctl/src/main/java/org/siskintiller/ctl/SessionNames.java
+++ b/ctl/src/main/java/org/siskintiller/ctl/SessionNames.java
@@ -1,6 +1,8 @@
 package org.siskintiller.ctl;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -17,6 +19,7 @@
     public void visit(ReplayedRecord replayed) {
         LogRecord record = replayed.entry().record();
         if (record instanceof LogRecord.SessionOpened opened) {
+            replaced(replayed.before(), opened.session()).forEach(session -> ended.put(session.incarnation(), session));
             ended.put(opened.session().incarnation(), opened.session());
         } else if (record instanceof LogRecord.SessionEnded end) {
             keep(replayed.before(), end.incarnation());
@@ -25,6 +28,18 @@
         }
     }
 
+    /** Open sessions that end when this one opens, since it has their peer address. */
+    static List<Session> replaced(ClusterState before, Session opened) {
+        List<Session> sessions = new ArrayList<>();
+        before.forEachOpenSession(session -> {
+            if (session.peerAddress().equals(opened.peerAddress())
+                    && !session.incarnation().equals(opened.incarnation())) {
+                sessions.add(session);
+            }
+        });
+        return sessions;
+    }
+
     /** Returns the session, open or ended, unless it is known by its incarnation only. */
     Optional<Session> session(ClusterState state, Incarnation incarnation) {
         return state.session(incarnation).or(() -> Optional.ofNullable(ended.get(incarnation)));
--- a/ctl/src/test/java/org/siskintiller/ctl/AuditTest.java
+++ b/ctl/src/test/java/org/siskintiller/ctl/AuditTest.java
@@ -89,6 +89,18 @@
         assertThat(rig.json().path("activePreset").asText()).isEqualTo("ordinary");
     }
 
+    /** A restarted companion ends its earlier session without a record of its own. */
+    @Test
+    void namesTheSessionThatARestartReplaces() {
+        rig.log.add(new LogRecord.SessionOpened(CtlRig.session(3)));
+        rig.log.add(new LogRecord.SessionOpened(CtlRig.session(4, CtlRig.session(3))));
+
+        rig.run("audit", "--from", "11");
+        assertThat(rig.json().path("records").get(0).path("to").asText())
+                .isEqualTo("open in place of i3/0000000000000003");
+        assertThat(rig.json().path("records").get(0).path("outcome").asText()).isEqualTo("accepted");
+    }
+
     /** A payload that cannot be decoded must neither stop replay nor vanish from the trail. */
     @Test
     void showsAMalformedRecordAndGoesOn() {
--- a/ctl/src/test/java/org/siskintiller/ctl/CtlRig.java
+++ b/ctl/src/test/java/org/siskintiller/ctl/CtlRig.java
@@ -64,13 +64,22 @@
 
     /** Session with the first one as its witness, since replay refuses one without witnesses beside open sessions. */
     static Session session(int number) {
+        return session(number, number);
+    }
+
+    /** Session of a companion that restarted at the addresses of an earlier one. */
+    static Session session(int number, Session earlier) {
+        return session(number, (int) earlier.incarnation().id());
+    }
+
+    private static Session session(int number, int place) {
         return new Session(
                 new Incarnation(number),
                 "i" + number,
                 "a",
-                new Address("127.0.0.1", 7000 + number),
-                new Address("127.0.0.1", 8000 + number),
-                new BackendServer("lookup", new Address("127.0.0.1", 9000 + number), 12, 130),
+                new Address("127.0.0.1", 7000 + place),
+                new Address("127.0.0.1", 8000 + place),
+                new BackendServer("lookup", new Address("127.0.0.1", 9000 + place), 12, 130),
                 number == 1 ? List.of() : List.of(new Incarnation(1)),
                 0,
                 -1,
