Count the read timeout from the first open stream

The reader-idle event counts silence from the last read, also while no stream was open and the other side had no reason to ping. A request that opened a stream on a quiet connection shortly before the event lost its connection and failed with 502 "the connection to the companion broke". The integration test of the whole path saw this.

The silence now counts from the later of the last read and the first open stream. The new transport test failed before the change and passes after it.

--- a/node/src/main/java/org/siskintiller/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/siskintiller/node/peer/PeerConnection.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -29,6 +30,8 @@
     private volatile Channel channel;
     private volatile long incarnation;
     private volatile long highestReceivedId;
+    private volatile long lastReadNs;
+    private volatile long busySinceNs;
     private long lastStreamId;
 
     PeerConnection(PeerHandler handler, boolean accepted) {
@@ -47,6 +50,9 @@
                 stream.fail(new StreamFailedException(Outcome.NOT_RUN, "too many streams to the companion"));
                 return stream;
             }
+            if (streams.isEmpty()) {
+                busySinceNs = System.nanoTime();
+            }
             streams.put(id, stream);
             Proto.PeerFrame frame = Proto.PeerFrame.newBuilder()
                     .setRequestHead(head.setStreamId(id))
@@ -110,6 +116,8 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
+        lastReadNs = System.nanoTime();
+        busySinceNs = lastReadNs;
         sendHello();
         ready.complete(this);
     }
@@ -136,6 +144,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, Proto.PeerFrame frame) {
+        lastReadNs = System.nanoTime();
         if (incarnation == 0 && !frame.hasHello()) {
             malformed("a frame came before the hello");
             return;
@@ -243,9 +252,7 @@
                 }
                 break;
             case READER_IDLE:
-                if (!streams.isEmpty() || incarnation == 0) {
-                    channel.close();
-                }
+                closeIfSilent(context);
                 break;
             default:
                 channel.close();
@@ -253,6 +260,23 @@
         }
     }
 
+    /**
+     * Closes a connection whose streams brought nothing for the read timeout. The other side pings only while a stream
+     * is open, so the silence counts from the first open stream.
+     */
+    private void closeIfSilent(ChannelHandlerContext context) {
+        if (streams.isEmpty() && incarnation != 0) {
+            return;
+        }
+        long silentNs = System.nanoTime() - Math.max(lastReadNs, busySinceNs);
+        long leftNs = TimeUnit.MILLISECONDS.toNanos(PeerLimits.READ_TIMEOUT_MS) - silentNs;
+        if (leftNs <= 0) {
+            channel.close();
+        } else if (channel.isActive()) {
+            context.executor().schedule(() -> closeIfSilent(context), leftNs, TimeUnit.NANOSECONDS);
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         for (PeerStream stream : List.copyOf(streams.values())) {
--- a/node/src/test/java/org/siskintiller/node/peer/PeerTransportTest.java
+++ b/node/src/test/java/org/siskintiller/node/peer/PeerTransportTest.java
@@ -117,6 +117,23 @@
         echo.get();
     }
 
+    /** Guards against a read timeout that counts time without streams and so breaks a request on a quiet connection. */
+    @Test
+    void quietConnectionServesALateRequest() throws Exception {
+        PeerStream first = open();
+        PeerStream firstAccepted = accepted();
+        firstAccepted.respond(Proto.ResponseHead.newBuilder().setStatus(200));
+        firstAccepted.finish();
+        first.finish();
+        first.incoming().readAllBytes();
+        Thread.sleep(PeerLimits.READ_TIMEOUT_MS - 100);
+        PeerStream late = open();
+        PeerStream lateAccepted = accepted();
+        Thread.sleep(200);
+        lateAccepted.respond(Proto.ResponseHead.newBuilder().setStatus(201));
+        assertThat(late.responseHead().get().getStatus()).isEqualTo(201);
+    }
+
     /** Guards against a slow receiver that makes the sender buffer a whole body in memory. */
     @Test
     void senderWaitsForCredit() throws Exception {
