--- /dev/null
+++ b/integration/src/test/java/org/siskintiller/integration/Await.java
@@ -0,0 +1,31 @@
+package org.siskintiller.integration;
+
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+
+/** Waits for conditions of other processes. */
+final class Await {
+    private static final long POLL_MS = 20;
+
+    private Await() {}
+
+    /** Polls until the condition holds; fails after the deadline with the last exception as cause. */
+    static void until(String what, long deadlineMs, Callable<Boolean> condition) throws InterruptedException {
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(deadlineMs);
+        Exception last = null;
+        while (System.nanoTime() - endNs < 0) {
+            try {
+                if (condition.call()) {
+                    return;
+                }
+                last = null;
+            } catch (InterruptedException e) {
+                throw e;
+            } catch (Exception e) {
+                last = e;
+            }
+            Thread.sleep(POLL_MS);
+        }
+        throw new AssertionError("not within " + deadlineMs + " ms: " + what, last);
+    }
+}
