--- a/integration/src/test/java/org/siskintiller/integration/TestCluster.java
+++ b/integration/src/test/java/org/siskintiller/integration/TestCluster.java
@@ -8,8 +8,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -198,21 +199,17 @@
         return new CallerRun(caller, caller.awaitAddress(), journal);
     }
 
-    /** Instance that owns the key according to a companion. */
-    TestInstance ownerOf(TestInstance asked, String key) throws IOException, InterruptedException {
-        String path = String.format(Locale.ROOT, "/_siskin/owner?service=%s&key=%s", asked.service(), key);
-        String http =
-                Http.getJson(asked.http(), path).path("owner").path("http").asText();
-        return all.stream().filter(each -> each.http().equals(http)).findFirst().orElseThrow();
-    }
-
-    /** Some keys that the instance owns. */
+    /** Some keys of slots that the instance serves at this moment. */
     List<String> keysOf(TestInstance owner, int count) throws IOException, InterruptedException {
+        Set<Integer> served = new HashSet<>();
+        status(owner.http())
+                .path("slots")
+                .forEach(slot -> served.add(slot.path("slot").asInt()));
         List<String> keys = new ArrayList<>();
-        for (int i = 0; keys.size() < count; i++) {
-            String key = "key-" + i;
-            if (ownerOf(owner, key) == owner) {
-                keys.add(key);
+        for (int i = 0; keys.size() < count && !served.isEmpty(); i++) {
+            String path = "/_siskin/owner?service=" + owner.service() + "&key=key-" + i;
+            if (served.contains(Http.getJson(owner.http(), path).path("slot").asInt())) {
+                keys.add("key-" + i);
             }
         }
         return keys;
