--- a/core/src/main/java/org/siskintiller/core/gate/Gate.java
+++ b/core/src/main/java/org/siskintiller/core/gate/Gate.java
@@ -151,12 +151,9 @@
             SlotId slot = new SlotId(event.service(), opened.slot());
             context.slots.open(slot, opened.fence());
             quiescing.reopened(slot);
-            // Nobody can have served version 1 before its first candidate.
-            boolean first = opened.fence().version() == 1 && opened.fence().candidateIndex() == 0;
             context.idempotency.open(
                     slot,
                     opened.fence().version(),
-                    first,
                     event.standby(),
                     event.recordsComplete(),
                     event.readRequestsStream(),
@@ -169,6 +166,7 @@
         context.admission.configure(AdmissionSettings.of(event.config(), service));
         quiescing.configured(event);
         Optional<ServiceConfig> config = event.config().service(service);
+        context.idempotency.setCopying(config.isEmpty() || !config.get().idempotent());
         if (config.isPresent() && config.get().longestRequestMs() > 0) {
             context.longestRequestNs = config.get().longestRequestMs() * 1_000_000;
             context.health.setLongestRequest(context.longestRequestNs);
--- a/node/src/main/java/org/siskintiller/node/runtime/Generation.java
+++ b/node/src/main/java/org/siskintiller/node/runtime/Generation.java
@@ -23,6 +23,7 @@
 import org.siskintiller.node.backend.BackendClient;
 import org.siskintiller.node.backend.Grants;
 import org.siskintiller.node.backend.LoadPoller;
+import org.siskintiller.node.log.AuditTrail;
 import org.siskintiller.node.log.ControlAppender;
 import org.siskintiller.node.log.ControlStreamReader;
 import org.siskintiller.node.log.RequestsStream;
@@ -33,6 +34,7 @@
     private static final long GATE_TICK_MS = 10;
     private static final long LOAD_POLL_MS = 500;
     private static final long LOAD_REPORT_MS = 2000;
+    private static final long QUIET_CHECK_MS = 500;
     /** Counting the gate's queues for every response would cost more than the request. */
     private static final long LOAD_REPORT_LIFETIME_NS = 50_000_000L;
 
@@ -51,8 +53,15 @@
     private final LoadPoller poller;
     private final ControlActions actions;
     private volatile LoadReport lastReport;
-
-    Generation(Session session, LogClient log, BackendClient backend, PeerSender peers, GenerationOwner owner) {
+    private boolean backendServerReady;
+
+    Generation(
+            Session session,
+            LogClient log,
+            BackendClient backend,
+            PeerSender peers,
+            GenerationOwner owner,
+            AuditTrail audit) {
         this.session = session;
         String service = session.backendServer().service();
         load = new LoadMeter(service, Clock.nowNs());
@@ -63,7 +72,7 @@
         gate = new GateDriver(new Gate(session.backendServer(), session.incarnation()), gateActions, backend, cancels);
         slots = new SlotGate(gate, grants, () -> control.state());
         requests = new RequestsStream(log, Ids::operationId, gate::submit, service, Threads.factory("requests"));
-        appender = new ControlAppender(log, control::submit);
+        appender = new ControlAppender(log, audit.filter(control::submit));
         reader = new ControlStreamReader(log, control::apply);
         poller = new LoadPoller(backend, gate::submit);
         actions = new ControlActions(this, peers, owner, gateActions);
@@ -80,7 +89,14 @@
         every(GATE_TICK_MS, () -> gate.submit(new GateEvent.Tick()));
         every(LOAD_POLL_MS, poller::poll);
         every(LOAD_REPORT_MS, () -> control.submit(load.take(Clock.nowNs())));
-        control.submit(new ControlEvent.BackendServerChanged(true));
+    }
+
+    /** The backend server is able to serve, so the session may open. Further calls have no effect. */
+    void backendServerReady() {
+        if (!backendServerReady) {
+            backendServerReady = true;
+            control.submit(new ControlEvent.BackendServerChanged(true));
+        }
     }
 
     private void every(long ms, Runnable task) {
@@ -173,25 +189,34 @@
     void retire() {
         gate.submit(new GateEvent.LeaseExtended(Long.MIN_VALUE));
         gate.submit(new GateEvent.DrainStarted());
-        close();
+        stopServing();
+        control.close();
+        closeWhenQuiet();
     }
 
-    @Override
-    public void close() {
+    private void stopServing() {
         reader.stop();
-        control.close();
         logThreads.shutdownNow();
         requests.close();
         slots.close();
-        // The gate's timer stays until nothing runs any more, so that deadlines of old requests still apply.
-        timer.scheduleWithFixedDelay(this::closeWhenQuiet, 1, 1, TimeUnit.SECONDS);
     }
 
+    @Override
+    public void close() {
+        stopServing();
+        control.close();
+        timer.shutdownNow();
+        cancels.shutdown();
+    }
+
+    /** The timer stays until nothing runs any more, so that deadlines of old requests still apply. */
     private void closeWhenQuiet() {
-        if (gate.inFlight() == 0) {
-            timer.shutdown();
-            cancels.shutdown();
+        if (gate.inFlight() > 0) {
+            after(QUIET_CHECK_MS, this::closeWhenQuiet);
+            return;
         }
+        timer.shutdownNow();
+        cancels.shutdown();
     }
 
     /** Load of the gate, shared by the responses of a short time. */
