Break mechanisms on purpose and measure recovery in virtual time

Cause: a check that cannot fail proves nothing, and the time without an owner had not been measured.

--- a/measure/src/main/java/org/siskintiller/measure/random/Checker.java
+++ b/measure/src/main/java/org/siskintiller/measure/random/Checker.java
@@ -16,17 +16,22 @@
 /** Checks the promises from what backend servers executed and callers were told. */
 final class Checker {
     private static final int KEPT_EXECUTIONS = 64;
+    /** Stated target: a leaving backend server gets no new work after a few seconds. */
+    private static final long LEAVING_NS = 3_000_000_000L;
 
     private final Map<SlotId, List<Execution>> bySlot = new HashMap<>();
     private final Map<String, RequestId> byIdempotencyKey = new HashMap<>();
     private final Set<RequestId> committed = new HashSet<>();
     private final Set<RequestId> refusedNotRun = new HashSet<>();
+    private final Map<Integer, Long> leavingSinceNs = new HashMap<>();
+    private final EventQueue queue;
     private final RunCounters counters;
     private final Set<String> keyedServices;
 
     private record Execution(int server, Fence fence, long startNs, long endNs) {}
 
-    Checker(RunCounters counters, Set<String> keyedServices) {
+    Checker(EventQueue queue, RunCounters counters, Set<String> keyedServices) {
+        this.queue = queue;
         this.counters = counters;
         this.keyedServices = keyedServices;
     }
@@ -63,6 +68,24 @@
         }
     }
 
+    /** A planned stop of the server's companion was requested. */
+    void leaving(int server) {
+        leavingSinceNs.putIfAbsent(server, queue.nowNs());
+    }
+
+    void returned(int server) {
+        leavingSinceNs.remove(server);
+    }
+
+    /** A request was written to the server. */
+    void written(int server) {
+        Long since = leavingSinceNs.get(server);
+        Invariant.NO_WORK_WHEN_LEAVING.check(
+                since == null || queue.nowNs() - since <= LEAVING_NS,
+                "server " + server + " got work " + (since == null ? 0 : queue.nowNs() - since) / 1_000_000
+                        + " ms after its stop was requested");
+    }
+
     void refusedNotRun(RequestId id, String reason) {
         counters.add("refused " + reason);
         Invariant.NOT_RUN_IS_TRUE.check(
--- a/measure/src/main/java/org/siskintiller/measure/random/CompanionProcess.java
+++ b/measure/src/main/java/org/siskintiller/measure/random/CompanionProcess.java
@@ -18,10 +18,12 @@
 import org.siskintiller.core.gate.GateRequest;
 import org.siskintiller.core.invariant.Invariant;
 import org.siskintiller.core.model.Address;
+import org.siskintiller.core.model.AuditEntry;
 import org.siskintiller.core.model.BackendServer;
 import org.siskintiller.core.model.Fence;
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.model.LogEntry;
+import org.siskintiller.core.model.LogRecord;
 import org.siskintiller.core.model.PeerMessage;
 import org.siskintiller.core.model.RequestId;
 import org.siskintiller.core.model.RequestRecord;
@@ -124,6 +126,7 @@
         life++;
         running = true;
         serverUp = true;
+        run.checker().returned(index);
         pausedUntilNs = 0;
         open();
         submit(0, this::tick);
@@ -164,6 +167,10 @@
 
     void stopGracefully() {
         submit(0, () -> {
+            run.checker().leaving(index);
+            if (run.isBroken(Mutation.IGNORE_DRAIN)) {
+                return;
+            }
             gate(new GateEvent.DrainStarted());
             control(new ControlEvent.StopRequested("operator"));
         });
@@ -216,6 +223,7 @@
     private void pollLog() {
         List<LogEntry> read = logCut ? null : run.log().readOrNull(nextOffset, READ_BATCH);
         if (read != null) {
+            List<LogEntry> delivered = run.isBroken(Mutation.SKIP_CONFIGURATION) ? withoutConfiguration(read) : read;
             boolean atTail = nextOffset + read.size() >= run.log().tail();
             ControlPlane reader = control;
             submit(2 * MS, () -> {
@@ -223,13 +231,28 @@
                     nextOffset = read.isEmpty()
                             ? nextOffset
                             : read.get(read.size() - 1).offset() + 1;
-                    control(new ControlEvent.RecordsRead(read, atTail));
+                    control(new ControlEvent.RecordsRead(delivered, atTail));
                 }
             });
         }
         submit(LOG_POLL_NS, this::pollLog);
     }
 
+    /** Replaces a configuration by a record without effect at one companion. */
+    private List<LogEntry> withoutConfiguration(List<LogEntry> read) {
+        if (index != 0) {
+            return read;
+        }
+        List<LogEntry> changed = new ArrayList<>();
+        for (LogEntry entry : read) {
+            boolean skipped = entry.record() instanceof LogRecord.PresetSwitched
+                    || entry.record() instanceof LogRecord.ConfigPublished && entry.offset() > 0;
+            LogRecord record = skipped ? new LogRecord.Audited(new AuditEntry("", "", "", "", "")) : entry.record();
+            changed.add(new LogEntry(entry.offset(), entry.operationId(), record));
+        }
+        return changed;
+    }
+
     /** Passes an event to the control plane and carries out its actions. */
     void control(ControlEvent event) {
         ControlPlane current = control;
@@ -256,9 +279,17 @@
         } else if (action instanceof ControlAction.CloseSlots) {
             ControlAction.CloseSlots close = (ControlAction.CloseSlots) action;
             run.counters().add("slots closed");
+            close.slots().forEach(each -> run.closed(new SlotId(close.service(), each.slot())));
+            if (run.isBroken(Mutation.QUIESCE_AT_ONCE)) {
+                control(new ControlEvent.SlotsQuiesced(close.service(), close.slots(), List.of()));
+                return;
+            }
             gate(new GateEvent.SlotsClosing(close.service(), close.slots()));
         } else if (action instanceof ControlAction.StoreRecords) {
             ControlAction.StoreRecords store = (ControlAction.StoreRecords) action;
+            if (run.isBroken(Mutation.FORGET_RECORDS)) {
+                return;
+            }
             gate(new GateEvent.RecordsReceived(store.reset(), store.records()));
         } else if (action instanceof ControlAction.RecordsReplicated) {
             stored(((ControlAction.RecordsReplicated) action).sequence());
@@ -314,6 +345,7 @@
                 action.readRequestsStream()));
         sendGrants();
         run.checkOwners(this);
+        action.slots().forEach(each -> run.opened(new SlotId(action.service(), each.slot())));
     }
 
     /** Sends the open slots with the lease's end on the server's clock, as PUT /grants does. */
@@ -433,6 +465,7 @@
             return;
         }
         run.requests().written(request.id());
+        run.checker().written(index);
         long remainingNs = Math.max(0, dispatch.deadlineNs() - localNs());
         server.run(
                 request,
@@ -445,7 +478,9 @@
                 }));
     }
 
-    private void finish(RequestId id, DispatchOutcome outcome) {
+    private void finish(RequestId id, DispatchOutcome actual) {
+        boolean misreported = run.isBroken(Mutation.REPORT_NOT_RUN) && random.nextInt(50) == 0;
+        DispatchOutcome outcome = misreported ? new DispatchOutcome.NotRun("reported wrongly") : actual;
         if (dispatched.remove(id) == null) {
             return;
         }
--- a/measure/src/main/java/org/siskintiller/measure/random/FaultSettings.java
+++ b/measure/src/main/java/org/siskintiller/measure/random/FaultSettings.java
@@ -10,6 +10,7 @@
  * @param faultIntervalMs mean time between process, network and log faults
  * @param answerLoss probability that the log's answer is lost after the write, while the log is faulty
  * @param lateAppend probability that an append lands only much later, while the log is faulty
+ * @param mutation mechanism that is broken on purpose
  */
 record FaultSettings(
         double messageLoss,
@@ -19,7 +20,21 @@
         long longDelayMs,
         long faultIntervalMs,
         double answerLoss,
-        double lateAppend) {
-    static final FaultSettings DEFAULT = new FaultSettings(0.02, 0.02, 3, 0.01, 1500, 2500, 0.3, 0.2);
-    static final FaultSettings NONE = new FaultSettings(0, 0, 3, 0, 0, Long.MAX_VALUE / 4_000_000, 0, 0);
+        double lateAppend,
+        Mutation mutation) {
+    static final FaultSettings DEFAULT = new FaultSettings(0.02, 0.02, 3, 0.01, 1500, 2500, 0.3, 0.2, Mutation.NONE);
+    static final FaultSettings NONE = new FaultSettings(0, 0, 3, 0, 0, Long.MAX_VALUE / 4_000_000, 0, 0, Mutation.NONE);
+
+    FaultSettings withMutation(Mutation newMutation) {
+        return new FaultSettings(
+                messageLoss,
+                messageDuplication,
+                messageDelayMs,
+                longDelay,
+                longDelayMs,
+                faultIntervalMs,
+                answerLoss,
+                lateAppend,
+                newMutation);
+    }
 }
--- a/measure/src/main/java/org/siskintiller/measure/random/RandomRun.java
+++ b/measure/src/main/java/org/siskintiller/measure/random/RandomRun.java
@@ -38,6 +38,7 @@
 
     private final long seed;
     private final long durationMs;
+    private final Mutation mutation;
     private final List<Fault> faults;
     private final Random random;
     private final EventQueue queue = new EventQueue();
@@ -51,6 +52,7 @@
     private final Map<Incarnation, CompanionProcess> byIncarnation = new HashMap<>();
     private final Map<String, Integer> servedAfterHealing = new HashMap<>();
     private final List<String> trace = new ArrayList<>();
+    private final OwnerGaps gaps = new OwnerGaps();
     private ClusterState replayed = ClusterState.EMPTY;
     private boolean healed;
 
@@ -58,13 +60,14 @@
         this.seed = seed;
         this.durationMs = durationMs;
         this.faults = faults;
+        this.mutation = settings.mutation();
         random = new Random(seed);
         log = new FakeLog(queue, random, settings, counters);
         services = List.of(
                 service("parcel-lookup", true, true, true),
                 service("leaflet-catalogue", true, true, false),
                 service("commission-desk", false, false, false));
-        checker = new Checker(counters, Set.of("parcel-lookup", "leaflet-catalogue"));
+        checker = new Checker(queue, counters, Set.of("parcel-lookup", "leaflet-catalogue"));
         network = new FakeNetwork(queue, random, settings, counters, services.size() * SERVERS_PER_SERVICE);
         requests = new Requests(this);
         for (int i = 0; i < services.size() * SERVERS_PER_SERVICE; i++) {
@@ -99,6 +102,14 @@
         checkHealed();
     }
 
+    /** Starts all companions without faults and requests. The caller advances the time. */
+    void startQuietly() {
+        publish();
+        for (CompanionProcess companion : companions) {
+            queue.after(random.nextInt(1_500) * MS, companion::start);
+        }
+    }
+
     private void publish() {
         List<RankLimits> limits = List.of(
                 new RankLimits("urgent", 50, 50, 400),
@@ -210,7 +221,8 @@
         }
     }
 
-    void send(CompanionProcess from, Incarnation to, PeerMessage message) {
+    void send(CompanionProcess from, Incarnation to, PeerMessage sent) {
+        PeerMessage message = isBroken(Mutation.GRANT_ALL_CLAIMS) ? granted(sent) : sent;
         CompanionProcess target = byIncarnation.get(to);
         if (target == null) {
             return;
@@ -225,6 +237,15 @@
                 }));
     }
 
+    private static PeerMessage granted(PeerMessage message) {
+        if (!(message instanceof PeerMessage.EndClaimReply)) {
+            return message;
+        }
+        PeerMessage.EndClaimReply reply = (PeerMessage.EndClaimReply) message;
+        return new PeerMessage.EndClaimReply(
+                reply.witness(), reply.holder(), true, 0, reply.mark(), reply.recordsInLog(), reply.earlierClaimants());
+    }
+
     void report(CompanionProcess companion, ControlAction.Report report) {
         counters.add("notice " + report.notice());
         trace("companion " + companion.index() + " " + companion.incarnation() + " " + report.notice() + " "
@@ -243,6 +264,19 @@
         }
     }
 
+    /** Times without an open owner, by slot. */
+    OwnerGaps gaps() {
+        return gaps;
+    }
+
+    void opened(SlotId slot) {
+        gaps.opened(slot, queue.nowNs());
+    }
+
+    void closed(SlotId slot) {
+        gaps.closed(slot, queue.nowNs());
+    }
+
     void register(CompanionProcess companion) {
         byIncarnation.put(companion.incarnation(), companion);
     }
@@ -272,6 +306,11 @@
         return trace;
     }
 
+    /** Whether this mechanism is broken on purpose. */
+    boolean isBroken(Mutation mechanism) {
+        return mutation == mechanism;
+    }
+
     Random random() {
         return random;
     }
--- a/measure/src/main/java/org/siskintiller/measure/random/RandomRuns.java
+++ b/measure/src/main/java/org/siskintiller/measure/random/RandomRuns.java
@@ -35,12 +35,21 @@
 
     /** Runs one seed. Returns the failure, reduced, or nothing. */
     public Optional<Failure> run(long seed) {
-        List<Fault> faults = Fault.plan(
-                new Random(seed ^ PLAN_SALT), durationMs, settings.faultIntervalMs(), RandomRun.companionCount());
+        List<Fault> faults = plan(seed);
         Optional<Failure> failure = attempt(seed, faults, totals);
         return failure.isEmpty() ? failure : Optional.of(reduce(seed, faults, failure.get()));
     }
 
+    /** Runs one seed. Returns the failure with all faults of the seed, or nothing. */
+    Optional<Failure> runUnreduced(long seed) {
+        return attempt(seed, plan(seed), totals);
+    }
+
+    private List<Fault> plan(long seed) {
+        return Fault.plan(
+                new Random(seed ^ PLAN_SALT), durationMs, settings.faultIntervalMs(), RandomRun.companionCount());
+    }
+
     /** Counts of all runs. */
     public String counts() {
         return totals.toString();
--- /dev/null
+++ b/measure/src/test/java/org/siskintiller/measure/random/RandomRunsTest.java
@@ -0,0 +1,97 @@
+package org.siskintiller.measure.random;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class RandomRunsTest {
+    private static final long DURATION_MS = 40_000;
+
+    @Nested
+    class Promises {
+
+        /** Guards against schedules of coinciding faults that break a promise, and against runs without faults. */
+        @Test
+        void holdUnderCoincidingFaults() {
+            RandomRuns runs = new RandomRuns(DURATION_MS);
+            for (long seed = 1; seed <= 10; seed++) {
+                Optional<RandomRuns.Failure> failure = runs.run(seed);
+                assertWithMessage("seed %s: %s", seed, failure)
+                        .that(failure.isEmpty())
+                        .isTrue();
+            }
+            List<String> reached = List.of(
+                    "notice CLAIM_GRANTED",
+                    "notice SLOTS_RELEASED",
+                    "incarnation retired",
+                    "planned stop completed",
+                    "records to standby",
+                    "records to log",
+                    "requests stream read",
+                    "replayed",
+                    "late append",
+                    "lost answer",
+                    "server crashed",
+                    "notice WITNESSES_CHANGED",
+                    "notice SNAPSHOT_PROPOSED",
+                    "fault operator_race",
+                    "fault lose_domain",
+                    "fault cut_inbound");
+            for (String event : reached) {
+                assertWithMessage("the runs did not reach: %s%n%s", event, runs.counts())
+                        .that(runs.count(event))
+                        .isGreaterThan(0);
+            }
+        }
+    }
+
+    @Nested
+    class BrokenMechanisms {
+
+        /** Guards against checks that cannot fail: each mechanism is broken once and its promise must turn red. */
+        @ParameterizedTest
+        @CsvSource({
+            "GRANT_ALL_CLAIMS, SOLE_OWNER",
+            "FORGET_RECORDS, AT_MOST_ONCE",
+            "REPORT_NOT_RUN, NOT_RUN_IS_TRUE",
+            "QUIESCE_AT_ONCE, GRACEFUL_STOP",
+            "IGNORE_DRAIN, NO_WORK_WHEN_LEAVING",
+            "SKIP_CONFIGURATION, CONFIG_NEVER_REVERTS"
+        })
+        void areFound(Mutation mutation, String promise) {
+            RandomRuns runs = new RandomRuns(DURATION_MS, FaultSettings.DEFAULT.withMutation(mutation));
+            boolean found = false;
+            for (long seed = 1; seed <= 12 && !found; seed++) {
+                found = runs.runUnreduced(seed)
+                        .filter(failure -> failure.message().contains(promise))
+                        .isPresent();
+            }
+            assertWithMessage("%s with %s", promise, mutation).that(found).isTrue();
+        }
+    }
+
+    @Nested
+    class Recovery {
+
+        /** Guards against keys that stay without an owner for longer than the stated 2 s after a loss. */
+        @Test
+        void everyLossIsRecoveredWithinTheTarget() {
+            for (RecoveryExperiment.Kind kind : RecoveryExperiment.Kind.values()) {
+                if (kind != RecoveryExperiment.Kind.PLANNED_STOP) {
+                    RecoveryExperiment.Result result = RecoveryExperiment.run(kind, 40, 2_000);
+                    assertThat(result.slots()).isGreaterThan(0);
+                    assertWithMessage("%s: %s", kind, result)
+                            .that(result.runsOverTarget())
+                            .isEqualTo(0);
+                }
+            }
+        }
+    }
+}
