Leave the proof of a standby's records to the gate again

Cause: the gate now takes recordsComplete as proof by itself and accepts a marker otherwise. Together with the control plane's flag for the first standby, which was set on the gate's earlier meaning, a standby that was never synchronised would have counted as complete. Change: an unplanned takeover never reports complete records. The marker of a predecessor's release is not passed on to a candidate behind a lost one, since that one may have served after the release.

--- a/core/src/main/java/org/siskintiller/core/ownership/Activation.java
+++ b/core/src/main/java/org/siskintiller/core/ownership/Activation.java
@@ -114,9 +114,9 @@
     }
 
     /**
-     * Request records are complete when every session that may have served has handed them over, or has kept them here.
-     * Of earlier versions, the server of the one directly before is enough, since no other candidate of that version
-     * could serve beside it. Whether a copy kept here was synchronised, the gate knows.
+     * Request records are complete when every session that may have served has handed them over. Of earlier versions,
+     * the server of the one directly before is enough, since no other candidate of that version could serve beside it.
+     * Whether the copy of a lost owner was synchronised here, only the gate knows.
      */
     private boolean recordsComplete(SlotEntry entry) {
         if (isIdempotent(entry) || entry.open != null) {
@@ -129,9 +129,6 @@
         for (Incarnation each : blockers(entry)) {
             boolean mayHaveServedLast = !serverReleased
                     || entry.assignment.candidates().subList(0, index).contains(each);
-            if (mayHaveServedLast && index == 1 && each.equals(entry.backedUp) && !isPredecessor(entry, each)) {
-                continue;
-            }
             if (mayHaveServedLast && endWithoutRelease(entry, each) != null) {
                 return false;
             }
@@ -139,10 +136,6 @@
         return true;
     }
 
-    private static boolean isPredecessor(SlotEntry entry, Incarnation each) {
-        return entry.assignment.predecessors().contains(each);
-    }
-
     private boolean readRequestsStream(SlotEntry entry) {
         if (isIdempotent(entry) || entry.open != null) {
             return false;
--- a/core/src/main/java/org/siskintiller/core/ownership/OwnershipTable.java
+++ b/core/src/main/java/org/siskintiller/core/ownership/OwnershipTable.java
@@ -152,7 +152,7 @@
     private void storeRecords(PeerMessage.Released released, Set<SlotId> wanted) {
         List<RequestRecord> records = new ArrayList<>();
         for (RequestRecord each : released.records()) {
-            if (wanted.contains(each.slot())) {
+            if (wanted.contains(each.slot()) && !isStaleMarker(each)) {
                 records.add(each);
             }
         }
@@ -161,6 +161,15 @@
         }
     }
 
+    /**
+     * A marker, which has no idempotency key, states that the records are whole at the released version or the next. An
+     * earlier candidate of the own version that was lost may have served after that release.
+     */
+    private boolean isStaleMarker(RequestRecord record) {
+        Assignment assignment = entries.get(record.slot()).assignment;
+        return record.idempotencyKey().isEmpty() && assignment.candidates().indexOf(context.self()) > 0;
+    }
+
     public void tick() {
         while (!timers.isEmpty() && timers.firstKey() <= context.nowNs()) {
             timers.pollFirstEntry().getValue().forEach(this::evaluate);
@@ -249,7 +258,6 @@
                 current.version() >= entry.assignment.version(),
                 entry.id + " would fall from version " + entry.assignment.version() + " to " + current.version());
         entry.assignment = current;
-        entry.backedUp = backedUp(current);
         stopWaiting(entry);
         if (entry.isUnused(context.self())) {
             entries.remove(entry.id);
@@ -343,18 +351,6 @@
         }
     }
 
-    /** Owner whose second place is this companion, by the same rule as {@link #standbyOf}. */
-    private Incarnation backedUp(Assignment current) {
-        List<Incarnation> candidates = current.candidates();
-        if (candidates.indexOf(context.self()) != 1) {
-            return null;
-        }
-        Session owner = context.state().session(candidates.get(0)).orElse(null);
-        boolean elsewhere = owner != null
-                && !owner.failureDomain().equals(context.ownSession().failureDomain());
-        return elsewhere ? candidates.get(0) : null;
-    }
-
     private void refreshStandby(SlotEntry entry) {
         Incarnation standby = standbyOf(entry);
         if (standby != null && !standby.equals(entry.standby)) {
--- a/core/src/main/java/org/siskintiller/core/ownership/SlotEntry.java
+++ b/core/src/main/java/org/siskintiller/core/ownership/SlotEntry.java
@@ -28,8 +28,6 @@
     Incarnation earlierServer;
     /** Version at which it served. */
     long earlierVersion;
-    /** Owner that keeps its request records here as the second place, or null when it may keep them elsewhere. */
-    Incarnation backedUp;
     /** The slot is never served below this version. */
     long promisedVersion;
     /** Fence under which the gate serves the slot, or null. */
