--- a/node/src/main/java/org/siskintiller/node/log/ControlAppender.java
+++ b/node/src/main/java/org/siskintiller/node/log/ControlAppender.java
@@ -79,6 +79,10 @@
             }
             return;
         }
+        if (Thread.currentThread().isInterrupted()) {
+            // The incarnation has ended; its records may still take effect, and nobody waits for the answer.
+            return;
+        }
         EventLog.log(LogEvent.LOG_APPEND_UNCERTAIN, batch.size() + " records: " + result);
         for (PendingRecord record : batch) {
             results.accept(new ControlEvent.AppendUncertain(record.operationId()));
--- a/node/src/main/java/org/siskintiller/node/log/ControlStreamReader.java
+++ b/node/src/main/java/org/siskintiller/node/log/ControlStreamReader.java
@@ -49,6 +49,9 @@
     }
 
     private void step(ReadResult result) throws InterruptedException {
+        if (stopped) {
+            return;
+        }
         if (result instanceof ReadResult.Read read) {
             setAvailable(true, "offset " + next);
             target.apply(decode(read.records()), read.atTail());
