--- /dev/null
+++ b/integration/src/test/java/org/siskintiller/integration/AtMostOnceTest.java
@@ -0,0 +1,61 @@
+package org.siskintiller.integration;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Guards against a non-idempotent request that runs twice because its caller sends it again after a failure. */
+class AtMostOnceTest {
+    @TempDir
+    private Path directory;
+
+    @Test
+    void resentRequestsRunOnceWhileOwnersAreKilled() throws Exception {
+        try (TestCluster cluster = new TestCluster(directory)) {
+            List<TestInstance> instances = cluster.startInstances(TestCluster.NOT_IDEMPOTENT, 5);
+            List<TestInstance> left = new ArrayList<>(instances);
+            CallerRun caller = cluster.startCaller(
+                    List.of(instances.get(0), instances.get(4)),
+                    "service = registry",
+                    "method = POST",
+                    "rate = 100",
+                    "customer = growers",
+                    "deadline_ms = 1000",
+                    "idempotency_keys = true",
+                    "resends = 8",
+                    "resend_delay_ms = 300",
+                    "repeats = 0.2",
+                    "body_bytes = 200");
+            caller.awaitSends(200);
+            for (int victim = 1; victim <= 2; victim++) {
+                instances.get(victim).kill();
+                left.remove(instances.get(victim));
+                caller.awaitSends(100);
+                cluster.awaitServing(left);
+            }
+            caller.awaitSends(200);
+            Map<String, CallerRun.Result> results = caller.finish();
+
+            List<Commit> commits = Journals.commits(instances);
+            assertThat(Journals.doubledRuns(commits)).isEmpty();
+            Set<String> committed = commits.stream().map(Commit::idempotencyKey).collect(Collectors.toSet());
+            List<CallerRun.Result> answered = results.values().stream()
+                    .filter(CallerRun.Result::succeeded)
+                    .toList();
+            assertThat(answered.size()).isGreaterThan(200);
+            assertThat(answered.stream()
+                            .filter(result -> !committed.contains(result.idempotencyKey()))
+                            .limit(5)
+                            .toList())
+                    .isEmpty();
+        }
+    }
+}
