--- a/core/src/main/java/org/siskintiller/core/control/Appender.java
+++ b/core/src/main/java/org/siskintiller/core/control/Appender.java
@@ -45,6 +45,11 @@
         }
     }
 
+    /** The log answered a read, so appends may be tried again. */
+    void onLogRead() {
+        uncertain = false;
+    }
+
     public void onUncertain(OperationId id) {
         uncertain = true;
         Pending append = pending.get(id);
--- a/core/src/main/java/org/siskintiller/core/control/ControlPlane.java
+++ b/core/src/main/java/org/siskintiller/core/control/ControlPlane.java
@@ -108,6 +108,7 @@
             receive(((ControlEvent.MessageReceived) event).message());
         } else if (event instanceof ControlEvent.RecordsRead) {
             ControlEvent.RecordsRead read = (ControlEvent.RecordsRead) event;
+            appender.onLogRead();
             apply(read.entries());
             if (read.atTail() && !relay.hasGap()) {
                 claims.onTail();
@@ -142,6 +143,7 @@
                     && (message instanceof PeerMessage.Heartbeat || message instanceof PeerMessage.EndClaim);
         }
         return event instanceof ControlEvent.SlotsQuiesced
+                || event instanceof ControlEvent.StopRequested
                 || event instanceof ControlEvent.Tick
                 || event instanceof ControlEvent.RecordsRead
                 || event instanceof ControlEvent.AppendStored
--- a/core/src/main/java/org/siskintiller/core/control/RecordDispatch.java
+++ b/core/src/main/java/org/siskintiller/core/control/RecordDispatch.java
@@ -109,6 +109,7 @@
         ClusterState now = plane.context().state();
         before.forEachOpenSession(earlier -> {
             if (!now.isOpen(earlier.incarnation())) {
+                ends.superseded(earlier.incarnation());
                 onEnded(
                         earlier.incarnation(),
                         now.ended(earlier.incarnation()).orElseThrow().endedBy());
--- a/core/src/main/java/org/siskintiller/core/control/SessionOpener.java
+++ b/core/src/main/java/org/siskintiller/core/control/SessionOpener.java
@@ -15,11 +15,16 @@
 /**
  * Opens the own session once the log was read to its tail and the backend server serves. Only sessions that answer a
  * heartbeat become witnesses: an open session in the log may long be lost, and with such witnesses no lease runs. The
- * first session has none; the log accepts no other session without witnesses.
+ * first session has none, and so has one that nobody answers.
  */
 final class SessionOpener {
     private static final long PROBE_NS = 600 * SessionTiming.MS;
     private static final int MAX_PROBES = 3;
+    /**
+     * A companion that nobody answers for this long opens its session without witnesses: after the loss of all
+     * companions, none of the open sessions in the log answers.
+     */
+    private static final long ALONE_NS = 3_000 * SessionTiming.MS;
     /** An earlier session at the own address is ended by the opening of the own one, so its lease must be over. */
     private static final long ADDRESS_BOUND_NS = SessionTiming.WITNESS_LEASE_NS;
 
@@ -30,6 +35,7 @@
     private final Set<Incarnation> heard = new HashSet<>();
     private List<Incarnation> probed;
     private long createdNs = Long.MIN_VALUE;
+    private long firstProbeNs;
     private long probedSinceNs;
     private int probes;
     private boolean tailSeen;
@@ -89,6 +95,7 @@
             return;
         }
         if (probed == null) {
+            firstProbeNs = context.nowNs();
             probe();
         }
         List<Incarnation> answered = new ArrayList<>(probed);
@@ -98,7 +105,9 @@
         } else if (context.nowNs() - probedSinceNs >= PROBE_NS) {
             heard.addAll(answered);
             probed.stream().filter(each -> !answered.contains(each)).forEach(silent::add);
-            if (probes < MAX_PROBES || heard.isEmpty()) {
+            if (heard.isEmpty() && context.nowNs() - firstProbeNs >= ALONE_NS) {
+                open(List.of());
+            } else if (probes < MAX_PROBES || heard.isEmpty()) {
                 probe();
             } else {
                 open(WitnessChoice.choose(context.state(), context.self(), List.copyOf(heard), unheard()));
--- a/core/src/main/java/org/siskintiller/core/control/Shutdown.java
+++ b/core/src/main/java/org/siskintiller/core/control/Shutdown.java
@@ -12,15 +12,18 @@
 final class Shutdown {
     /** A log that has not stored a record for this long is taken to be down. */
     private static final long LOG_TIMEOUT_NS = 3_000 * SessionTiming.MS;
-    /** Slots that nobody took over by then are closed here, and their standbys take over. */
+    /**
+     * Slots that nobody took over by then are closed here, and their standbys take over. It leaves a margin below the
+     * 3 s after which a leaving backend server gets no new work.
+     */
+    private static final long MOVE_TIMEOUT_NS = 2_000 * SessionTiming.MS;
+    /** A stop does not wait longer than this for running requests. */
     private static final long DRAIN_TIMEOUT_NS = 20_000 * SessionTiming.MS;
     /** The lease is given up repeatedly for this long, since datagrams may be lost. */
     private static final long GIVE_UP_NS = 300 * SessionTiming.MS;
     /** Holders replace a witness whose end they read within about two seconds. */
     private static final long WITNESS_TIME_NS = 5_000 * SessionTiming.MS;
 
-    private static final long WITNESS_MARGIN_NS = 100 * SessionTiming.MS;
-
     private final ControlContext context;
     private final Appender appender;
     private final SessionOpener opener;
@@ -53,6 +56,8 @@
 
     void requestStop(String newRequestedBy) {
         if (phase != Phase.NONE) {
+            // An incarnation that is about to retire stops the process instead.
+            requestedBy = requestedBy == null ? newRequestedBy : requestedBy;
             return;
         }
         requestedBy = newRequestedBy;
@@ -133,16 +138,16 @@
         }
         nextCheckNs = context.nowNs() + SessionTiming.RETRY_INTERVAL_NS;
         boolean recorded = !context.state().isOpen(context.self()) || elapsed(LOG_TIMEOUT_NS);
-        // Without the log no holder can replace its witness.
-        if (recorded && (!mayWitness() || appender.isLogDown() || !isNamedAsWitness())) {
+        // Without the log no holder can replace its witness, and this process cannot open a new session anyway.
+        boolean awaitsLog = appender.isLogDown() && requestedBy == null;
+        if (recorded && !awaitsLog && (!mayWitness() || !isNamedAsWitness())) {
             leave();
         }
     }
 
-    /** Whether this companion may still ack: not for long after its lease, nor while a process waits to stop. */
+    /** Whether this companion may still ack. A process that waits to stop does not wait longer for its holders. */
     boolean mayWitness() {
-        return !elapsed(WITNESS_TIME_NS)
-                && context.nowNs() - lease.lostSinceNs() < SessionTiming.WITNESS_SILENCE_NS - WITNESS_MARGIN_NS;
+        return requestedBy == null && appender.isLogDown() || !elapsed(WITNESS_TIME_NS);
     }
 
     private boolean isNamedAsWitness() {
@@ -204,8 +209,7 @@
                 context.state().session(context.self()).map(Session::draining).orElse(false);
         boolean moved = draining && table.openCount() == 0;
         boolean nobodyElse = draining && !hasSuccessor();
-        boolean logDown = !draining && elapsed(LOG_TIMEOUT_NS);
-        if (moved || nobodyElse || logDown || elapsed(DRAIN_TIMEOUT_NS)) {
+        if (moved || nobodyElse || elapsed(MOVE_TIMEOUT_NS)) {
             enter(Phase.QUIESCING);
             table.stop();
         }
--- a/core/src/main/java/org/siskintiller/core/replay/Replay.java
+++ b/core/src/main/java/org/siskintiller/core/replay/Replay.java
@@ -108,10 +108,6 @@
                 return new Void(Reason.INVALID, earlier.incarnation() + " used the address of " + self + " before");
             }
         }
-        if (session.witnesses().isEmpty() && next.open.size() > superseded.size()) {
-            // Nobody can end a session without witnesses, so there is at most one: the first.
-            return new Void(Reason.INVALID, self + " needs witnesses, since other sessions are open");
-        }
         superseded.forEach(earlier -> next.endSession(earlier, self));
         next.openSession(session.withOpenedOffset(next.appliedOffset).withWitnesses(session.witnesses(), 0));
         return Accepted.WHOLE;
--- a/core/src/main/java/org/siskintiller/core/session/EndRegistry.java
+++ b/core/src/main/java/org/siskintiller/core/session/EndRegistry.java
@@ -1,10 +1,13 @@
 package org.siskintiller.core.session;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 import org.siskintiller.core.control.ControlContext;
 import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.model.Session;
 import org.siskintiller.core.model.StateImage.EndedSession;
 
 /** Sessions that are known to have ended, by a granted claim of this companion or by the log. */
@@ -21,6 +24,7 @@
 
     private final ControlContext context;
     private final Map<Incarnation, End> ends = new HashMap<>();
+    private final Set<Incarnation> superseded = new HashSet<>();
 
     public EndRegistry(ControlContext context) {
         this.context = context;
@@ -52,16 +56,38 @@
         return find(incarnation) != null;
     }
 
-    /** Whether a witness no longer acks, and no lease that it acked still runs. */
+    /** A new session at the same address ended this one, so its process no longer acts for it. */
+    public void superseded(Incarnation incarnation) {
+        superseded.add(incarnation);
+    }
+
+    /**
+     * Whether a witness no longer acks, and no lease that it acked still runs. A session that ended by a claim does not
+     * suffice: while the log is down its process keeps acking, since nobody can replace it then.
+     */
     public boolean isRetiredWitness(Incarnation witness) {
-        return context.state().ended(witness).isPresent()
+        EndedSession record = context.state().ended(witness).orElse(null);
+        if (record == null) {
+            return false;
+        }
+        boolean closed = record.endedBy() == null;
+        return (closed || isSuperseded(record))
                 && context.nowNs() - find(witness).knownSinceNs() > SessionTiming.WITNESS_RETIRED_NS;
     }
 
+    private boolean isSuperseded(EndedSession record) {
+        if (superseded.contains(record.incarnation())) {
+            return true;
+        }
+        Session successor = context.state().session(record.endedBy()).orElse(null);
+        return successor != null && successor.openedOffset() == record.endedOffset();
+    }
+
     /** Forgets sessions that the log has forgotten too. */
     public void prune() {
         ends.keySet()
                 .removeIf(each -> !context.state().isOpen(each)
                         && context.state().ended(each).isEmpty());
+        superseded.removeIf(each -> context.state().ended(each).isEmpty());
     }
 }
--- a/core/src/main/java/org/siskintiller/core/session/SessionTiming.java
+++ b/core/src/main/java/org/siskintiller/core/session/SessionTiming.java
@@ -8,10 +8,7 @@
     public static final long DRIFT_PERCENT = 1;
     /** A companion without its lease for this long retires its incarnation. */
     public static final long RETIREMENT_MS = 5_000;
-    /**
-     * A companion without its lease for this long acks no more as a witness. Between retirement and silence the sessions
-     * that it witnesses can replace it while they still have its acks.
-     */
+    /** A companion whose planned stop closed its session acks no more after this long. */
     public static final long WITNESS_SILENCE_MS = 10_000;
     /** Interval at which unanswered claims, releases and lapse notices are repeated. */
     public static final long RETRY_INTERVAL_MS = 100;
