Keep fence refusals out of the health of the backend server

Cause: a backend server refuses with 409 while a grant lapses for a moment. A record of the log that could not be decoded was left out, so that replay, which needs every offset, would have stopped at every companion. Change: NotRun tells a refused fence apart, which is passed on as not-owner and says nothing about health; a malformed record is replaced by one without effect. A name in admission says what it tests.

--- a/core/src/main/java/org/siskintiller/core/gate/Completion.java
+++ b/core/src/main/java/org/siskintiller/core/gate/Completion.java
@@ -23,7 +23,7 @@
         if (event.outcome() instanceof DispatchOutcome.Answered) {
             answered(ticket, (DispatchOutcome.Answered) event.outcome());
         } else if (event.outcome() instanceof DispatchOutcome.NotRun) {
-            notRun(ticket, ((DispatchOutcome.NotRun) event.outcome()).reason());
+            notRun(ticket, (DispatchOutcome.NotRun) event.outcome());
         } else if (event.outcome() instanceof DispatchOutcome.Broken) {
             broken(ticket, ((DispatchOutcome.Broken) event.outcome()).reason());
         } else {
@@ -67,7 +67,11 @@
         }
     }
 
-    private void notRun(Ticket ticket, String reason) {
+    private void notRun(Ticket ticket, DispatchOutcome.NotRun outcome) {
+        String reason = outcome.reason();
+        if (outcome.fenceRefused() && ticket.denied == null) {
+            ticket.denied = RefusalKind.NOT_OWNER;
+        }
         if (ticket.denied != null || ticket.cancelled) {
             context.health.withdrawn();
         } else {
--- a/core/src/main/java/org/siskintiller/core/gate/DispatchOutcome.java
+++ b/core/src/main/java/org/siskintiller/core/gate/DispatchOutcome.java
@@ -15,8 +15,16 @@
         }
     }
 
-    /** The backend server refused before it ran anything, or nothing was sent to it. */
-    record NotRun(String reason) implements DispatchOutcome {}
+    /**
+     * The backend server refused before it ran anything, or nothing was sent to it.
+     *
+     * @param fenceRefused whether the server refused for want of a live grant, which says nothing about its health
+     */
+    record NotRun(String reason, boolean fenceRefused) implements DispatchOutcome {
+        public NotRun(String reason) {
+            this(reason, false);
+        }
+    }
 
     /** The connection broke or the answer was cut; the request may have run. */
     record Broken(String reason) implements DispatchOutcome {}
--- a/core/src/main/java/org/siskintiller/core/gate/Dispatcher.java
+++ b/core/src/main/java/org/siskintiller/core/gate/Dispatcher.java
@@ -98,7 +98,7 @@
         if (denial == null && context.quarantine.refuses(ticket.request().fingerprint(), context.nowNs)) {
             denial = RefusalKind.QUARANTINED;
         }
-        if (denial == null && context.admission.hopeless(ticket, context.nowNs)) {
+        if (denial == null && context.admission.cannotMeetDeadline(ticket, context.nowNs)) {
             denial = RefusalKind.DEADLINE_TOO_SHORT;
         }
         if (denial != null) {
--- a/core/src/test/java/org/siskintiller/core/gate/GateTest.java
+++ b/core/src/test/java/org/siskintiller/core/gate/GateTest.java
@@ -176,6 +176,18 @@
             assertThat(refusals(finish(2, ANSWERED))).isEmpty();
         }
 
+        /** Guards against a healthy backend server that is ejected because a grant lapsed for a moment. */
+        @Test
+        void fenceRefusalsSayNothingAboutHealth() {
+            for (long id = 1; id <= 20; id++) {
+                arrive(id);
+                List<GateDecision> decisions = finish(id, new DispatchOutcome.NotRun("no live grant", true));
+                assertThat(refusals(decisions)).containsExactly(RefusalKind.NOT_OWNER);
+                assertThat(of(decisions, GateDecision.BackendServerChanged.class))
+                        .isEmpty();
+            }
+        }
+
         /** Guards against requests that wait at a frozen backend server. */
         @Test
         void ejectsFrozenBackendServer() {
--- a/node/src/main/java/org/siskintiller/node/backend/BackendClient.java
+++ b/node/src/main/java/org/siskintiller/node/backend/BackendClient.java
@@ -42,6 +42,8 @@
     /** Larger answers are not kept for repeats of the same idempotency key. */
     static final int MAX_KEPT_BODY_BYTES = 16 * 1024;
 
+    private static final int FENCE_REFUSED_STATUS = 409;
+
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration CONTROL_TIMEOUT = Duration.ofMillis(500);
     private static final int CONTROL_CONNECTIONS = 2;
@@ -153,7 +155,9 @@
     private DispatchOutcome receive(BackendCall call, HttpResponse<InputStream> response, long startNs) {
         try (InputStream body = response.body()) {
             if (response.headers().firstValue("Siskin-Outcome").orElse("").equals("not-run")) {
-                return new DispatchOutcome.NotRun("the backend server answered " + response.statusCode() + " not-run");
+                return new DispatchOutcome.NotRun(
+                        "the backend server answered " + response.statusCode() + " not-run",
+                        response.statusCode() == FENCE_REFUSED_STATUS);
             }
             boolean chunked = response.headers().firstValue("Transfer-Encoding").isPresent();
             long length = response.headers().firstValueAsLong("Content-Length").orElse(chunked ? -1 : 0);
--- a/node/src/main/java/org/siskintiller/node/log/ControlStreamReader.java
+++ b/node/src/main/java/org/siskintiller/node/log/ControlStreamReader.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.siskintiller.core.model.AuditEntry;
 import org.siskintiller.core.model.LogEntry;
+import org.siskintiller.core.model.LogRecord;
 import org.siskintiller.logclient.LogClient;
 import org.siskintiller.logclient.ReadResult;
 import org.siskintiller.logclient.StoredRecord;
@@ -65,7 +67,12 @@
         }
     }
 
-    private static List<LogEntry> decode(List<StoredRecord> records) {
+    /** Replay needs every offset, so a record that cannot be decoded is replaced and not left out. */
+    private static LogRecord withoutEffect() {
+        return new LogRecord.Audited(new AuditEntry("", "malformed record", "", "", "ignored"));
+    }
+
+    static List<LogEntry> decode(List<StoredRecord> records) {
         List<LogEntry> entries = new ArrayList<>(records.size());
         for (StoredRecord record : records) {
             Decoded<LogEntry> decoded = LogCodec.decode(
@@ -74,6 +81,7 @@
                 entries.add(ok.value());
             } else if (decoded instanceof Decoded.Malformed<LogEntry> bad) {
                 EventLog.log(LogEvent.LOG_MALFORMED, "offset " + record.offset() + ": " + bad.reason());
+                entries.add(new LogEntry(record.offset(), record.operationId(), withoutEffect()));
             }
         }
         return entries;
