--- a/core/src/main/java/org/siskintiller/core/admission/Admission.java
+++ b/core/src/main/java/org/siskintiller/core/admission/Admission.java
@@ -133,7 +133,7 @@
     }
 
     /** Whether a taken request would most likely miss its deadline while others of its rank wait that may not. */
-    public boolean hopeless(T request, long nowNs) {
+    public boolean cannotMeetDeadline(T request, long nowNs) {
         RankQueue<T> rank = rankOf(request);
         return rank.queued() > 0 && request.deadlineNs() - nowNs < rank.meanServiceNs();
     }
--- a/core/src/main/java/org/siskintiller/core/control/ControlPlane.java
+++ b/core/src/main/java/org/siskintiller/core/control/ControlPlane.java
@@ -76,8 +76,8 @@
             return List.of();
         }
         context.advanceTo(nowNs);
-        if (lease.isHopeless()) {
-            shutdown.onLeaseHopeless();
+        if (lease.cannotRenew()) {
+            shutdown.onLeaseNotRenewable();
         }
         if (shutdown.isRetiring() ? concernsRetired(event) : !shutdown.isOver()) {
             dispatch(event);
--- a/core/src/main/java/org/siskintiller/core/control/RecordRelay.java
+++ b/core/src/main/java/org/siskintiller/core/control/RecordRelay.java
@@ -18,7 +18,7 @@
     private static final int RECORDS_PER_MESSAGE = 128;
     private static final long FETCH_INTERVAL_NS = 100_000_000L;
     /** A healthy log delivers records within this time, so that a companion only then asks another one. */
-    private static final long PATIENCE_NS = 500_000_000L;
+    private static final long RELAY_DELAY_NS = 500_000_000L;
 
     private final ControlContext context;
     private final TreeMap<Long, LogEntry> kept = new TreeMap<>();
@@ -116,7 +116,7 @@
     void tick() {
         if (ahead != null
                 && aheadOffset > context.state().appliedOffset()
-                && context.nowNs() - behindSinceNs >= PATIENCE_NS) {
+                && context.nowNs() - behindSinceNs >= RELAY_DELAY_NS) {
             fetch();
         }
     }
--- a/core/src/main/java/org/siskintiller/core/control/SessionOpener.java
+++ b/core/src/main/java/org/siskintiller/core/control/SessionOpener.java
@@ -88,7 +88,7 @@
         if (createdNs == Long.MIN_VALUE) {
             createdNs = context.nowNs();
         }
-        if (!tailSeen || !serving || cancelled || pending != null) {
+        if (!tailSeen || !serving || cancelled || pending != null || lease.isOpen()) {
             return;
         }
         if (!earlierAtOwnAddress().isEmpty() && context.nowNs() - createdNs < ADDRESS_BOUND_NS) {
@@ -124,7 +124,7 @@
         silent.addAll(earlier);
         probed = WitnessChoice.choose(context.state(), context.self(), List.copyOf(heard), silent);
         if (probed.isEmpty() && context.state().openSessionCount() > earlier.size()) {
-            // All sessions were asked in vain; they are asked again, since some may have been unreachable for a moment.
+            // No session answered. All are asked again, since some may have been unreachable for a moment.
             silent.retainAll(earlier);
             probed = WitnessChoice.choose(context.state(), context.self(), List.of(), silent);
         }
--- a/core/src/main/java/org/siskintiller/core/control/Shutdown.java
+++ b/core/src/main/java/org/siskintiller/core/control/Shutdown.java
@@ -89,7 +89,7 @@
     }
 
     /** The lease cannot be renewed any more. */
-    void onLeaseHopeless() {
+    void onLeaseNotRenewable() {
         if (reason == null) {
             reason = "the lease was lost and its witnesses cannot renew it";
         }
@@ -105,10 +105,10 @@
         if (phase == Phase.CLOSING) {
             retire();
         } else if (phase == Phase.GIVING_UP) {
-            leaveWhenQuiet();
+            retireWhenQuiesced();
         } else if (phase != Phase.RETIRING) {
             reason = "the session was ended by " + endedBy;
-            onLeaseHopeless();
+            onLeaseNotRenewable();
         }
     }
 
@@ -250,11 +250,11 @@
         // Without witnesses only the log can end the session. A planned stop lets running requests finish.
         boolean told = elapsed(lease.witnesses().isEmpty() ? LOG_TIMEOUT_NS : GIVE_UP_NS);
         if (told) {
-            leaveWhenQuiet();
+            retireWhenQuiesced();
         }
     }
 
-    private void leaveWhenQuiet() {
+    private void retireWhenQuiesced() {
         if (requestedBy == null || table.openCount() == 0 || elapsed(DRAIN_TIMEOUT_NS)) {
             retire();
         }
--- a/core/src/main/java/org/siskintiller/core/session/SessionLease.java
+++ b/core/src/main/java/org/siskintiller/core/session/SessionLease.java
@@ -156,7 +156,7 @@
     }
 
     /** Whether the incarnation can no longer serve, so that a new one must be started. */
-    public boolean isHopeless() {
+    public boolean cannotRenew() {
         if (!open || givenUp) {
             return false;
         }
--- a/measure/src/main/java/org/siskintiller/measure/MeasureMain.java
+++ b/measure/src/main/java/org/siskintiller/measure/MeasureMain.java
@@ -8,7 +8,7 @@
         name = "siskintiller-measure",
         version = "siskintiller-measure 0.1.0",
         mixinStandardHelpOptions = true,
-        subcommands = {RandomRunCommand.class, RecoveryCommand.class},
+        subcommands = {RandomRunCommand.class, RecoveryCommand.class, CapacityCommand.class},
         description = "Experiments and randomised runs.")
 public final class MeasureMain {
 
--- a/measure/src/main/java/org/siskintiller/measure/random/CompanionProcess.java
+++ b/measure/src/main/java/org/siskintiller/measure/random/CompanionProcess.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 
 import org.siskintiller.core.control.ControlAction;
 import org.siskintiller.core.control.ControlEvent;
@@ -24,9 +22,7 @@
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.model.LogEntry;
 import org.siskintiller.core.model.LogRecord;
-import org.siskintiller.core.model.PeerMessage;
 import org.siskintiller.core.model.RequestId;
-import org.siskintiller.core.model.RequestRecord;
 import org.siskintiller.core.model.Session;
 import org.siskintiller.core.model.SlotId;
 import org.siskintiller.core.model.StateImage.RemovedCustomer;
@@ -37,7 +33,6 @@
     private static final long MS = 1_000_000;
     private static final long TICK_NS = 50 * MS;
     private static final long LOG_POLL_NS = 60 * MS;
-    private static final long STORE_TIMEOUT_NS = 50 * MS;
     private static final long WALL_CLOCK_START_MS = 1_760_000_000_000L;
     private static final int READ_BATCH = 64;
     private static final int RECORDS_PER_SNAPSHOT = 300;
@@ -49,11 +44,12 @@
     private final double clockRate;
     private final Random random;
     private final FakeBackendServer server;
+    private final Map<RequestId, GateRequest> requests = new HashMap<>();
     private final Map<RequestId, GateRequest> dispatched = new HashMap<>();
-    private final Set<Long> unansweredStores = new HashSet<>();
     private Incarnation incarnation;
     private ControlPlane control;
     private Gate gate;
+    private RecordPlaces records;
     private int life;
     private boolean running;
     private boolean logCut;
@@ -101,6 +97,14 @@
         return server;
     }
 
+    Gate gate() {
+        return gate;
+    }
+
+    boolean isCutFromLog() {
+        return logCut;
+    }
+
     boolean isRunning() {
         return running;
     }
@@ -145,7 +149,7 @@
         control = new ControlPlane(session, random.nextLong(), new BalancedPlanner(), RECORDS_PER_SNAPSHOT);
         gate = new Gate(announced, incarnation);
         dispatched.clear();
-        unansweredStores.clear();
+        records = new RecordPlaces(run, this);
         configVersion = 0;
         nextOffset = 0;
         leaseExpiryNs = Long.MIN_VALUE;
@@ -294,7 +298,7 @@
             }
             gate(new GateEvent.RecordsReceived(store.reset(), store.records()));
         } else if (action instanceof ControlAction.RecordsReplicated) {
-            stored(((ControlAction.RecordsReplicated) action).sequence());
+            records.stored(((ControlAction.RecordsReplicated) action).sequence());
         } else if (action instanceof ControlAction.RecordsInLogConfirmed) {
             gate(new GateEvent.RecordsInLogConfirmed());
         } else if (action instanceof ControlAction.StateChanged) {
@@ -411,8 +415,6 @@
         gate(new GateEvent.Arrived(request));
     }
 
-    private final Map<RequestId, GateRequest> requests = new HashMap<>();
-
     private void carryOut(GateDecision decision) {
         if (decision instanceof GateDecision.Dispatch) {
             dispatch((GateDecision.Dispatch) decision);
@@ -425,15 +427,15 @@
             requests.remove(replay.id());
             run.requests().replayed(replay.id());
         } else if (decision instanceof GateDecision.StoreAtStandby) {
-            storeAtStandby((GateDecision.StoreAtStandby) decision);
+            records.storeAtStandby((GateDecision.StoreAtStandby) decision);
         } else if (decision instanceof GateDecision.StoreInLog) {
-            storeInLog((GateDecision.StoreInLog) decision);
+            records.storeInLog((GateDecision.StoreInLog) decision);
         } else if (decision instanceof GateDecision.RequestRecordsInLog) {
             run.counters().add("records in log requested");
             control(new ControlEvent.RecordsInLogRequested());
         } else if (decision instanceof GateDecision.ReadRequestsStream) {
             run.counters().add("requests stream read");
-            readRequests(gate);
+            records.readRequests();
         } else if (decision instanceof GateDecision.SlotsQuiesced) {
             GateDecision.SlotsQuiesced quiesced = (GateDecision.SlotsQuiesced) decision;
             control(new ControlEvent.SlotsQuiesced(quiesced.service(), quiesced.slots(), quiesced.records()));
@@ -492,66 +494,4 @@
         run.requests().finished(id, outcome);
         gate(new GateEvent.Finished(id, outcome));
     }
-
-    private void storeAtStandby(GateDecision.StoreAtStandby store) {
-        unansweredStores.add(store.sequence());
-        run.counters().add("records to standby");
-        run.send(
-                this,
-                store.standby(),
-                new PeerMessage.ReplicateRecords(incarnation, store.sequence(), store.reset(), store.records()));
-        Gate current = gate;
-        submit(STORE_TIMEOUT_NS, () -> {
-            if (gate == current && unansweredStores.remove(store.sequence())) {
-                run.counters().add("records not at standby");
-                gate(new GateEvent.RecordsNotStored(store.sequence()));
-            }
-        });
-    }
-
-    private void stored(long sequence) {
-        if (unansweredStores.remove(sequence)) {
-            gate(new GateEvent.RecordsStored(sequence));
-        }
-    }
-
-    private void storeInLog(GateDecision.StoreInLog store) {
-        run.counters().add("records to log");
-        Gate current = gate;
-        Runnable uncertain = () -> submit(0, () -> {
-            if (gate == current) {
-                gate(new GateEvent.RecordsNotStored(store.sequence()));
-            }
-        });
-        if (logCut) {
-            uncertain.run();
-            return;
-        }
-        run.log()
-                .appendRequests(
-                        store.records(),
-                        () -> submit(0, () -> {
-                            if (gate == current) {
-                                gate(new GateEvent.RecordsStored(store.sequence()));
-                            }
-                        }),
-                        uncertain);
-    }
-
-    private void readRequests(Gate current) {
-        if (gate != current) {
-            return;
-        }
-        List<RequestRecord> records = logCut ? null : run.log().requestsOrNull();
-        if (records == null) {
-            submit(LOG_POLL_NS, () -> readRequests(current));
-            return;
-        }
-        submit(3 * MS, () -> {
-            if (gate == current) {
-                gate(new GateEvent.RecordsReceived(false, records));
-                gate(new GateEvent.RequestsStreamRead());
-            }
-        });
-    }
 }
