--- a/core/src/main/java/org/siskintiller/core/admission/ConcurrencyLimit.java
+++ b/core/src/main/java/org/siskintiller/core/admission/ConcurrencyLimit.java
@@ -9,19 +9,24 @@
     /** Lowest share of the announced concurrency. A wrong report costs at most half of the capacity. */
     private static final double FLOOR_SHARE = 0.5;
 
-    private final int announced;
-    private final int floor;
+    private int announced;
+    private int floor;
     private int corrected;
     private double allowedShare = 1;
     private long lastStepNs = Long.MIN_VALUE;
 
     public ConcurrencyLimit(int announced) {
-        if (announced < 1) {
+        announce(announced);
+    }
+
+    /** Starts again from an announced concurrency, as for another run of the backend server. */
+    public final void announce(int concurrency) {
+        if (concurrency < 1) {
             throw new IllegalArgumentException("announced concurrency must be at least 1");
         }
-        this.announced = announced;
-        this.floor = (int) Math.ceil(announced * FLOOR_SHARE);
-        this.corrected = announced;
+        announced = concurrency;
+        floor = (int) Math.ceil(concurrency * FLOOR_SHARE);
+        corrected = concurrency;
     }
 
     /**
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/balance/BackendLoad.java
@@ -0,0 +1,13 @@
+package org.siskintiller.core.balance;
+
+/**
+ * Load of a backend server as its companion reports it.
+ *
+ * @param running requests in execution
+ * @param queued requests that wait in the companion
+ * @param slots requests that may run at once
+ * @param meanServiceUs mean time in execution of successful requests in microseconds, 0 while none ended
+ */
+public record BackendLoad(int running, int queued, int slots, int meanServiceUs) {
+    public static final BackendLoad UNKNOWN = new BackendLoad(0, 0, 1, 0);
+}
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/balance/LeastDelay.java
@@ -0,0 +1,26 @@
+package org.siskintiller.core.balance;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Chooses the backend server with the least expected delay. Backend servers of one service differ in speed, so equal
+ * request counts would overload the slow ones while the fast ones idle.
+ */
+public final class LeastDelay {
+    private LeastDelay() {}
+
+    public static Optional<String> choose(List<DelayEstimate> candidates, Set<String> excluded) {
+        DelayEstimate best = null;
+        for (DelayEstimate candidate : candidates) {
+            if (excluded.contains(candidate.instance())) {
+                continue;
+            }
+            if (best == null || candidate.delayNs() < best.delayNs()) {
+                best = candidate;
+            }
+        }
+        return Optional.ofNullable(best).map(DelayEstimate::instance);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/lease/BackendBeat.java
@@ -0,0 +1,30 @@
+package org.siskintiller.core.lease;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.siskintiller.core.keyrange.KeyRange;
+
+/**
+ * Heartbeat of a backend server, as far as its keys are concerned.
+ *
+ * @param run start time of its run
+ * @param sequence increases within a run
+ * @param held ranges that it holds or still works on
+ * @param handovers ranges that it released since its last acknowledged heartbeat, with the token for the next holder
+ */
+public record BackendBeat(long run, long sequence, List<KeyRange> held, List<Handover> handovers) {
+
+    public BackendBeat {
+        held = List.copyOf(held);
+        handovers = List.copyOf(handovers);
+    }
+
+    /** Token that lets the next holder of a range take over its state. */
+    public record Handover(KeyRange range, String token) {
+        public Handover {
+            Objects.requireNonNull(range, "range");
+            Objects.requireNonNull(token, "token");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/siskintiller/core/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Lease authority of key ranges, its election and the holder side beside each backend server. */
+package org.siskintiller.core.lease;
--- a/node/src/main/java/org/siskintiller/node/LogEvent.java
+++ b/node/src/main/java/org/siskintiller/node/LogEvent.java
@@ -5,7 +5,8 @@
 /**
  * Numbered log events of the companion. docs/log-events.md is generated from this enum.
  *
- * <p>Numbers: 10xx process, 11xx callers, 12xx sessions and ownership, 13xx peers, 14xx backend server, 15xx log service.
+ * <p>Numbers: 10xx process, 11xx callers, 12xx sessions and ownership, 13xx peers, 14xx backend server, 15xx log service,
+ * 16xx requests on the router path, 17xx keys and lease authority.
  */
 public enum LogEvent {
     STARTED(1001, Level.INFO, "companion started", "none"),
@@ -18,6 +19,7 @@
             "graceful stop reached its upper bound; requests that still ran were cut",
             "raise stop_timeout_ms above the longest request"),
     UNEXPECTED_ERROR(1006, Level.ERROR, "unexpected error", "report the stack trace; the companion goes on"),
+    SETTINGS_RELOADED(1008, Level.INFO, "settings read again", "none"),
     LISTENING(1007, Level.INFO, "listening", "none"),
 
     REQUEST_REJECTED(1101, Level.DEBUG, "malformed request rejected", "correct the caller"),
@@ -69,7 +71,29 @@
     LOG_EXPIRED(1503, Level.INFO, "records expired; reading from the first retained offset", "none"),
     LOG_MALFORMED(1504, Level.ERROR, "malformed record in the log skipped", "find the writer of that offset"),
     LOG_APPEND_UNCERTAIN(1505, Level.WARN, "append unanswered", "none; it is sent again with the same operation id"),
-    LOG_QUEUE_FULL(1506, Level.WARN, "append queue full; record dropped for a later retry", "restore the log service");
+    LOG_QUEUE_FULL(1506, Level.WARN, "append queue full; record dropped for a later retry", "restore the log service"),
+    STORE_APPEND_CONFLICT(1507, Level.INFO, "conditional append came too late", "none; the newer record is read first"),
+    MEMBER_CHANGED(1508, Level.INFO, "member changed", "none"),
+
+    REQUEST_COMPLETED(1601, Level.INFO, "response sent", "none"),
+    REQUEST_FAILED(1602, Level.WARN, "request answered with an error of the router", "follow docs/OPERATIONS.md"),
+    ATTEMPT_REFUSED(1603, Level.INFO, "attempt refused; the request has not run", "none"),
+    ATTEMPT_FAILED(1604, Level.WARN, "attempt failed; the request may have run", "look at the backend server"),
+    REQUEST_GIVEN_UP(1605, Level.INFO, "caller left before the response", "none"),
+    DISPATCHED(1606, Level.DEBUG, "request sent to the backend server", "none"),
+    RESPONSE_DISCARDED(1607, Level.WARN, "bytes that belong to no request discarded", "look at the backend server"),
+    REQUEST_QUARANTINED(1608, Level.WARN, "request refused because it crashed backend servers", "look at the request"),
+    CRASH_SUSPECTED(1609, Level.WARN, "backend server lost while it ran a request", "look at the request"),
+
+    AUTHORITY_CHANGED(1701, Level.INFO, "lease authority changed", "none"),
+    AUTHORITY_CLAIMED(1702, Level.INFO, "claiming the lease authority", "none"),
+    AUTHORITY_RESIGNED(1703, Level.INFO, "lease authority given up", "none"),
+    RENEWAL_DENIED(1704, Level.WARN, "lease not renewed", "none; the holder is told what it lacks"),
+    KEYS_ASSIGNED(1705, Level.INFO, "key table changed", "none"),
+    KEYS_PROPOSED(1706, Level.INFO, "key table proposed", "none"),
+    KEYS_RELEASED(1707, Level.INFO, "keys released", "none"),
+    KEYS_MOVING(1708, Level.INFO, "keys are moved for balance", "none"),
+    PAUSE_DETECTED(1709, Level.WARN, "process was paused or its clock was set; lease dropped", "look at the machine");
 
     private final int number;
     private final Level level;
@@ -88,6 +112,10 @@
         return "SIS-" + number;
     }
 
+    int number() {
+        return number;
+    }
+
     public Level level() {
         return level;
     }
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -0,0 +1,206 @@
+package org.siskintiller.router;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import org.siskintiller.core.lease.KeyHolder;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.path.BackendPresence;
+import org.siskintiller.core.path.CallerLimits;
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
+import org.siskintiller.node.operator.PrometheusText;
+import org.siskintiller.router.backend.BackendGate;
+import org.siskintiller.router.backend.BackendPool;
+import org.siskintiller.router.backend.CrashWatch;
+import org.siskintiller.router.backend.HeartbeatCodec;
+import org.siskintiller.router.backend.HeartbeatHandler;
+import org.siskintiller.router.backend.KeyGate;
+import org.siskintiller.router.control.ConfigDecoder;
+import org.siskintiller.router.control.ConfigFeed;
+import org.siskintiller.router.control.ControlDriver;
+import org.siskintiller.router.control.ControlSettings;
+import org.siskintiller.router.control.ControlState;
+import org.siskintiller.router.control.Member;
+import org.siskintiller.router.control.PeerDirectory;
+import org.siskintiller.router.ingress.CallerHandler;
+import org.siskintiller.router.ingress.CallerRequest;
+import org.siskintiller.router.ingress.CallerResponse;
+import org.siskintiller.router.ingress.CallerServer;
+import org.siskintiller.router.peer.PeerServer;
+import org.siskintiller.router.request.Header;
+import org.siskintiller.router.request.HeaderNames;
+import org.siskintiller.router.request.RequestRouter;
+import org.siskintiller.router.store.RecordStore;
+
+/** One companion process on the router path: builds the parts, starts them and stops them gracefully. */
+public final class Companion {
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    /** Callers notice that the process is not ready after two failed checks, one a second. */
+    private static final long NOTICE_MS = 2_300;
+    /** The process ends this long before it is killed. */
+    private static final long KILL_MARGIN_MS = 500;
+
+    private static final long STOP_CHECK_MS = 50;
+    private static final CallerLimits LOCAL_LIMITS = new CallerLimits(16_384, 1 << 20, 3_000, 60_000);
+
+    private final CompanionSettings settings;
+    private final EventLoop loop;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private final BackendGate gate;
+    private final ControlDriver control;
+    private final ConfigFeed config;
+    private final RequestRouter router;
+    private final PeerServer peerServer;
+    private final CallerServer callers;
+    private final CallerServer readiness;
+    private final CallerServer heartbeats;
+    private final CallerServer metricsPages;
+    private boolean stopping;
+
+    public Companion(
+            CompanionSettings settings,
+            EventLoop loop,
+            RecordStore store,
+            HeaderNames names,
+            ConfigDecoder configDecoder,
+            HeartbeatCodec heartbeatCodec) {
+        this.settings = settings;
+        this.loop = loop;
+        long nowNs = System.nanoTime();
+        Member self =
+                new Member(settings.instance(), settings.companions(), settings.failureDomain(), settings.service());
+        KeyHolder holder = new KeyHolder(settings.holdMaxMs(), nowNs);
+        BackendPresence presence = new BackendPresence(settings.drainMs());
+        CrashWatch crashes = new CrashWatch();
+        ControlState state = new ControlState();
+        BackendPool pool = new BackendPool(settings.backend(), loop, names, metrics);
+        this.gate = new BackendGate(loop, pool, presence, new HeldKeys(), crashes, metrics);
+        PeerDirectory peers =
+                new PeerDirectory(settings.instance(), settings.failureDomain(), settings.service(), loop, state, gate);
+        this.router = new RequestRouter(loop, names, settings.router(), peers, gate::runs, metrics);
+        this.config = new ConfigFeed(store, loop, configDecoder, router);
+        this.control = new ControlDriver(
+                new ControlSettings(self, new Incarnation(new SecureRandom().nextLong())),
+                store,
+                loop,
+                state,
+                peers,
+                gate,
+                presence,
+                crashes,
+                holder);
+        peers.listen(control);
+        this.peerServer = new PeerServer(loop, gate, control);
+        this.callers = new CallerServer(loop, router, this::callerLimits);
+        this.readiness = new CallerServer(loop, this::ready, () -> LOCAL_LIMITS);
+        CallerHandler heartbeatHandler = new HeartbeatHandler(heartbeatCodec, gate, control::beat);
+        this.heartbeats = new CallerServer(loop, heartbeatHandler, () -> LOCAL_LIMITS);
+        this.metricsPages = new CallerServer(loop, this::metricsPage, () -> LOCAL_LIMITS);
+    }
+
+    /** Binds all addresses and starts to follow the store. Not called on the event loop. */
+    public void start() throws IOException {
+        callers.bind(settings.callers());
+        readiness.bind(settings.readiness());
+        heartbeats.bind(settings.heartbeats());
+        peerServer.bind(settings.companions());
+        metricsPages.bind(settings.metrics());
+        loop.execute(() -> {
+            config.start();
+            control.start(router, config, peerServer::publishStatus);
+        });
+        EventLog.log(
+                LogEvent.STARTED,
+                "instance",
+                settings.instance(),
+                "service",
+                settings.service(),
+                "failure_domain",
+                settings.failureDomain(),
+                "callers",
+                settings.callers());
+    }
+
+    /** Stops gracefully: lets callers go elsewhere, finishes what runs, then releases {@link #awaitStop}. */
+    public void stop() {
+        loop.execute(() -> {
+            if (stopping) {
+                return;
+            }
+            stopping = true;
+            long startNs = System.nanoTime();
+            EventLog.log(LogEvent.STOP_REQUESTED, "open", router.open(), "in_flight", gate.inFlight());
+            control.stop();
+            callers.stop();
+            loop.schedule(() -> finishStop(startNs), NOTICE_MS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    public void awaitStop() throws InterruptedException {
+        stopped.await();
+    }
+
+    /** Logs a reload of the settings file. Addresses and limits hold for the life of the process. */
+    public void reloaded(String outcome) {
+        EventLog.log(LogEvent.SETTINGS_RELOADED, "outcome", outcome);
+    }
+
+    private void finishStop(long startNs) {
+        long elapsedMs = (System.nanoTime() - startNs) / 1_000_000;
+        boolean idle = router.open() == 0 && gate.inFlight() == 0;
+        boolean late = elapsedMs >= settings.graceMs() - KILL_MARGIN_MS;
+        if (!idle && !late) {
+            loop.schedule(() -> finishStop(startNs), STOP_CHECK_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        if (!idle) {
+            EventLog.log(LogEvent.STOP_TIMED_OUT, "open", router.open(), "in_flight", gate.inFlight());
+        }
+        callers.closeIdle();
+        EventLog.log(LogEvent.STOPPED, "after_ms", elapsedMs);
+        stopped.countDown();
+    }
+
+    private CallerLimits callerLimits() {
+        return config.routes() == null ? CallerLimits.INITIAL : config.routes().limits();
+    }
+
+    private Runnable ready(CallerRequest request, CallerResponse response) {
+        boolean ready = !stopping && config.routes() != null && control.ready();
+        response.send(ready ? OK : UNAVAILABLE, List.of(), new byte[0]);
+        return () -> {};
+    }
+
+    private Runnable metricsPage(CallerRequest request, CallerResponse response) {
+        byte[] page = PrometheusText.render(metrics).getBytes(StandardCharsets.UTF_8);
+        response.send(OK, List.of(new Header("Content-Type", "text/plain; version=0.0.4")), page);
+        return () -> {};
+    }
+
+    /** The gate asks the control part, which is built after it. */
+    private final class HeldKeys implements KeyGate {
+        @Override
+        public boolean serves(int key, long nowNs) {
+            return control.serves(key, nowNs);
+        }
+
+        @Override
+        public boolean isAssigned(int key) {
+            return control.isAssigned(key);
+        }
+
+        @Override
+        public void counted(int key) {
+            control.counted(key);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendExchange.java
@@ -0,0 +1,25 @@
+package org.siskintiller.router.backend;
+
+import org.siskintiller.router.request.ForwardedRequest;
+import org.siskintiller.router.request.ResponseHead;
+
+/** One request on one connection to the backend server. */
+interface BackendExchange {
+    ForwardedRequest request();
+
+    /** Id of the backend server that the request is for. */
+    String expectedInstance();
+
+    void started(ResponseHead head);
+
+    void data(byte[] data, boolean last);
+
+    /** The backend server rejected the request without running it. */
+    void rejected(int status);
+
+    /** The connection ended or carried something else; the request may have run. */
+    void broken(String detail);
+
+    /** The backend server told its load. */
+    void loadReported(int running, int waiting, int slots);
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendPool.java
@@ -0,0 +1,90 @@
+package org.siskintiller.router.backend;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import org.siskintiller.core.model.Address;
+import org.siskintiller.router.request.HeaderNames;
+
+/** Kept connections to the backend server. The one used last is used first, so that surplus ones time out. */
+public final class BackendPool {
+    /** The backend server is on the same machine; a connection takes about 1 ms. */
+    private static final int CONNECT_TIMEOUT_MS = 400;
+
+    private static final int MAX_HEADER_BYTES = 65_536;
+
+    private final Address address;
+    private final EventLoop loop;
+    private final HeaderNames names;
+    private final Counter connects;
+    private final Deque<BackendConnection> idle = new ArrayDeque<>();
+
+    public BackendPool(Address address, EventLoop loop, HeaderNames names, MetricRegistry metrics) {
+        this.address = address;
+        this.loop = loop;
+        this.names = names;
+        this.connects = metrics.counter("backend.connects");
+    }
+
+    /** Hands over a connection, or null when none can be made, in which case nothing was sent. */
+    void acquire(Consumer<BackendConnection> receiver) {
+        long nowNs = System.nanoTime();
+        while (!idle.isEmpty()) {
+            BackendConnection connection = idle.pollFirst();
+            if (connection.usable(nowNs)) {
+                receiver.accept(connection);
+                return;
+            }
+            connection.close();
+        }
+        connect(receiver);
+    }
+
+    void released(BackendConnection connection) {
+        if (connection.usable(System.nanoTime())) {
+            idle.addFirst(connection);
+        } else {
+            connection.close();
+        }
+    }
+
+    void closed(BackendConnection connection) {
+        idle.remove(connection);
+    }
+
+    void closeIdle() {
+        idle.forEach(BackendConnection::close);
+        idle.clear();
+    }
+
+    private void connect(Consumer<BackendConnection> receiver) {
+        connects.inc();
+        BackendConnection connection = new BackendConnection(names, this);
+        HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        connection.attach(channel);
+                        channel.pipeline().addLast(new HttpClientCodec(decoder, false, false), connection);
+                    }
+                })
+                .connect(address.host(), address.port())
+                .addListener(connected -> receiver.accept(connected.isSuccess() ? connection : null));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/backend/GateSettings.java
@@ -0,0 +1,38 @@
+package org.siskintiller.router.backend;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.siskintiller.core.admission.AdmissionSettings;
+import org.siskintiller.core.admission.RankSettings;
+
+/** Ranks of the queue in front of a backend server. */
+final class GateSettings {
+    /** Calls of backend servers for running requests: a stalled one holds a slot at its caller. */
+    static final String INTERNAL = "internal";
+    /** Requests past their latency objective. They get what the others leave. */
+    static final String LATE = "late";
+
+    private static final int PRIORITIES = 4;
+    /** Guaranteed share of each priority, so that none starves under a flood of a more urgent one. */
+    private static final double PRIORITY_SHARE = 0.1;
+    /** Longest queue of a rank. The predicted wait refuses long before, except with very short requests. */
+    private static final int QUEUE_LIMIT = 200;
+
+    private GateSettings() {}
+
+    static AdmissionSettings ranks() {
+        List<RankSettings> ranks = new ArrayList<>();
+        ranks.add(new RankSettings(INTERNAL, 0, 0, QUEUE_LIMIT));
+        for (int priority = 0; priority < PRIORITIES; priority++) {
+            ranks.add(new RankSettings(rank(priority), priority + 1, PRIORITY_SHARE, QUEUE_LIMIT));
+        }
+        ranks.add(new RankSettings(LATE, PRIORITIES + 1, 0, QUEUE_LIMIT));
+        return new AdmissionSettings(ranks, Map.of(), LATE);
+    }
+
+    static String rank(int priority) {
+        return "priority-" + Math.max(0, Math.min(PRIORITIES - 1, priority));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/backend/HeartbeatHandler.java
@@ -0,0 +1,58 @@
+package org.siskintiller.router.backend;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+
+import org.siskintiller.core.lease.BackendBeat;
+import org.siskintiller.core.lease.BeatAnswer;
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.ingress.CallerHandler;
+import org.siskintiller.router.ingress.CallerRequest;
+import org.siskintiller.router.ingress.CallerResponse;
+import org.siskintiller.router.request.Header;
+
+/** Answers the heartbeats of the backend server of this machine. */
+public final class HeartbeatHandler implements CallerHandler {
+    private static final List<Header> JSON = List.of(new Header("Content-Type", "application/json"));
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+
+    private final HeartbeatCodec codec;
+    private final BackendGate gate;
+    private final Function<BackendBeat, BeatAnswer> keys;
+
+    public HeartbeatHandler(HeartbeatCodec codec, BackendGate gate, Function<BackendBeat, BeatAnswer> keys) {
+        this.codec = codec;
+        this.gate = gate;
+        this.keys = keys;
+    }
+
+    @Override
+    public Runnable handle(CallerRequest request, CallerResponse response) {
+        Optional<HeartbeatCodec.Message> message = codec.decode(request.method(), request.uri(), request.body());
+        if (message.isEmpty()) {
+            response.send(NOT_FOUND, List.of(), new byte[0]);
+            return () -> {};
+        }
+        long nowNs = System.nanoTime();
+        if (message.get() instanceof HeartbeatCodec.Heartbeat heartbeat) {
+            heartbeat(heartbeat, response, nowNs);
+        } else if (message.get() instanceof HeartbeatCodec.Leave leave) {
+            gate.left(leave.id(), nowNs);
+            response.send(OK, List.of(), new byte[0]);
+        } else if (message.get() instanceof HeartbeatCodec.Malformed malformed) {
+            EventLog.log(LogEvent.BACKEND_ANNOUNCEMENT_INVALID, "cause", malformed.detail());
+            response.send(BAD_REQUEST, List.of(), new byte[0]);
+        }
+        return () -> {};
+    }
+
+    private void heartbeat(HeartbeatCodec.Heartbeat heartbeat, CallerResponse response, long nowNs) {
+        boolean current = gate.announced(heartbeat.announcement(), nowNs);
+        BeatAnswer answer = current ? keys.apply(heartbeat.beat()) : BeatAnswer.RENEWS_NOTHING;
+        response.send(OK, JSON, codec.encode(answer));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/control/ConfigDecoder.java
@@ -0,0 +1,21 @@
+package org.siskintiller.router.control;
+
+import org.siskintiller.core.path.RouteTable;
+
+/** Reads the operator's configuration. */
+public interface ConfigDecoder {
+    /** Key of the configuration in the operator's topic. */
+    String key();
+
+    /** Decodes a configuration, or throws with the reason why it cannot be used. */
+    RouteTable decode(byte[] content) throws InvalidConfigException;
+
+    /** A configuration that cannot be used. */
+    final class InvalidConfigException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        public InvalidConfigException(String message, Throwable cause) {
+            super(message, cause);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
@@ -0,0 +1,77 @@
+package org.siskintiller.router.control;
+
+import io.netty.channel.EventLoop;
+import org.siskintiller.core.path.RouteTable;
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.request.RequestRouter;
+import org.siskintiller.router.store.RecordStore;
+import org.siskintiller.router.store.StoreTopic;
+import org.siskintiller.router.store.StoredRecord;
+import org.siskintiller.router.store.TopicFeed;
+
+/** Puts the operator's newest configuration in force. Versions only rise within a process. */
+public final class ConfigFeed implements TopicFeed.FeedListener {
+    private final ConfigDecoder decoder;
+    private final RequestRouter router;
+    private final TopicFeed feed;
+    private RouteTable routes;
+    private byte[] content = new byte[0];
+
+    public ConfigFeed(RecordStore store, EventLoop loop, ConfigDecoder decoder, RequestRouter router) {
+        this.decoder = decoder;
+        this.router = router;
+        this.feed = new TopicFeed(store, StoreTopic.OPERATOR, loop, () -> false, this);
+    }
+
+    public void start() {
+        feed.start();
+    }
+
+    @Override
+    public void record(StoredRecord record) {
+        if (record.key().equals(decoder.key()) && record.value().length > 0) {
+            received(record.value(), "store");
+        }
+    }
+
+    /** Takes a configuration from the store or another companion if it is newer than the one in force. */
+    public void received(byte[] newContent, String from) {
+        RouteTable next;
+        try {
+            next = decoder.decode(newContent);
+        } catch (ConfigDecoder.InvalidConfigException e) {
+            EventLog.log(LogEvent.SETTINGS_INVALID, "configuration from " + from + " ignored", e);
+            return;
+        }
+        if (routes != null && next.version() <= routes.version()) {
+            return;
+        }
+        EventLog.log(
+                LogEvent.CONFIG_IN_FORCE,
+                "version",
+                next.version(),
+                "before",
+                version(),
+                "from",
+                from,
+                "routes",
+                next.routeCount());
+        routes = next;
+        content = newContent.clone();
+        router.apply(next);
+    }
+
+    /** Configuration in force, or null while none is known. */
+    public RouteTable routes() {
+        return routes;
+    }
+
+    public long version() {
+        return routes == null ? 0 : routes.version();
+    }
+
+    byte[] content() {
+        return content.clone();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/control/ControlRecords.java
@@ -0,0 +1,92 @@
+package org.siskintiller.router.control;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.siskintiller.core.keyrange.KeyGrant;
+import org.siskintiller.core.keyrange.KeyRange;
+import org.siskintiller.core.keyrange.KeyTable;
+import org.siskintiller.core.model.Address;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.wire.companion.CompanionProto;
+
+/** Keys and contents of the records in the control topic. */
+final class ControlRecords {
+    static final String AUTHORITY_KEY = "authority";
+    static final String MEMBER_PREFIX = "member/";
+    static final String KEYS_PREFIX = "keys/";
+
+    private ControlRecords() {}
+
+    static String memberKey(String instance) {
+        return MEMBER_PREFIX + instance;
+    }
+
+    static String keysKey(String service) {
+        return KEYS_PREFIX + service;
+    }
+
+    static byte[] encode(Member member) {
+        return CompanionProto.MemberRecord.newBuilder()
+                .setInstance(member.instance())
+                .setHost(member.address().host())
+                .setPort(member.address().port())
+                .setFailureDomain(member.failureDomain())
+                .setService(member.service())
+                .build()
+                .toByteArray();
+    }
+
+    static Member member(byte[] value) throws InvalidProtocolBufferException {
+        CompanionProto.MemberRecord record = CompanionProto.MemberRecord.parseFrom(value);
+        return new Member(
+                record.getInstance(),
+                new Address(record.getHost(), record.getPort()),
+                record.getFailureDomain(),
+                record.getService());
+    }
+
+    static byte[] encode(AuthorityClaim claim) {
+        return CompanionProto.AuthorityRecord.newBuilder()
+                .setInstance(claim.instance())
+                .setIncarnation(claim.incarnation().id())
+                .setTerm(claim.term())
+                .setResigned(claim.resigned())
+                .build()
+                .toByteArray();
+    }
+
+    static AuthorityClaim claim(byte[] value) throws InvalidProtocolBufferException {
+        CompanionProto.AuthorityRecord record = CompanionProto.AuthorityRecord.parseFrom(value);
+        return new AuthorityClaim(
+                record.getInstance(), new Incarnation(record.getIncarnation()), record.getTerm(), record.getResigned());
+    }
+
+    static byte[] encode(KeyTable table) {
+        CompanionProto.KeyTableRecord.Builder builder = CompanionProto.KeyTableRecord.newBuilder()
+                .setService(table.service())
+                .setTerm(table.term())
+                .setLastFence(table.lastFence());
+        for (KeyGrant grant : table.grants()) {
+            builder.addRows(CompanionProto.KeyRow.newBuilder()
+                    .setFrom(grant.range().from())
+                    .setTo(grant.range().to())
+                    .setHolder(grant.holder())
+                    .setRun(grant.run())
+                    .setFence(grant.fence())
+                    .setHandover(grant.handover()));
+        }
+        return builder.build().toByteArray();
+    }
+
+    static KeyTable table(byte[] value) throws InvalidProtocolBufferException {
+        CompanionProto.KeyTableRecord record = CompanionProto.KeyTableRecord.parseFrom(value);
+        List<KeyGrant> grants = new ArrayList<>();
+        for (CompanionProto.KeyRow row : record.getRowsList()) {
+            KeyRange range = new KeyRange(row.getFrom(), row.getTo());
+            grants.add(new KeyGrant(range, row.getHolder(), row.getRun(), row.getFence(), row.getHandover()));
+        }
+        return new KeyTable(record.getService(), record.getTerm(), record.getLastFence(), grants);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/control/ControlState.java
@@ -0,0 +1,91 @@
+package org.siskintiller.router.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.siskintiller.core.keyrange.KeyTable;
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.store.StoredRecord;
+
+/** What the records of the control topic say. A record counts only if it is newer than the known one of its key. */
+public final class ControlState {
+    private final Map<String, StoredRecord> newest = new HashMap<>();
+    private final TreeMap<String, Member> members = new TreeMap<>();
+    private final Map<String, KeyTable> tables = new HashMap<>();
+    private AuthorityClaim authority = AuthorityClaim.NONE;
+    private long end;
+
+    /** Applies a record and returns whether it changed anything. Unreadable records are logged and skipped. */
+    public boolean apply(StoredRecord record) {
+        end = Math.max(end, record.offset() + 1);
+        StoredRecord known = newest.get(record.key());
+        if (known != null && known.offset() >= record.offset()) {
+            return false;
+        }
+        try {
+            decode(record);
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+            EventLog.log(
+                    LogEvent.LOG_MALFORMED, "key", record.key(), "offset", record.offset(), "cause", e.getMessage());
+            return false;
+        }
+        newest.put(record.key(), record);
+        return true;
+    }
+
+    public Map<String, Member> members() {
+        return members;
+    }
+
+    public AuthorityClaim authority() {
+        return authority;
+    }
+
+    public Optional<KeyTable> table(String service) {
+        return Optional.ofNullable(tables.get(service));
+    }
+
+    public List<String> keyedServices() {
+        return new ArrayList<>(tables.keySet());
+    }
+
+    /** Returns the newest record of a key, to pass it on. */
+    public Optional<StoredRecord> record(String key) {
+        return Optional.ofNullable(newest.get(key));
+    }
+
+    public List<StoredRecord> records() {
+        return new ArrayList<>(newest.values());
+    }
+
+    /** Offset after the last known record. */
+    public long end() {
+        return end;
+    }
+
+    private void decode(StoredRecord record) throws InvalidProtocolBufferException {
+        String key = record.key();
+        if (key.equals(ControlRecords.AUTHORITY_KEY)) {
+            AuthorityClaim claim = ControlRecords.claim(record.value());
+            if (claim.term() >= authority.term()) {
+                authority = claim;
+            }
+        } else if (key.startsWith(ControlRecords.MEMBER_PREFIX)) {
+            String instance = key.substring(ControlRecords.MEMBER_PREFIX.length());
+            if (record.value().length == 0) {
+                members.remove(instance);
+            } else {
+                members.put(instance, ControlRecords.member(record.value()));
+            }
+        } else if (key.startsWith(ControlRecords.KEYS_PREFIX)) {
+            KeyTable table = ControlRecords.table(record.value());
+            tables.put(table.service(), table);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/control/Member.java
@@ -0,0 +1,20 @@
+package org.siskintiller.router.control;
+
+import java.util.Objects;
+
+import org.siskintiller.core.model.Address;
+
+/**
+ * Instance with a companion. A restart at the same address changes nothing, so it needs no record.
+ *
+ * @param address where it accepts other companions
+ */
+public record Member(String instance, Address address, String failureDomain, String service) {
+
+    public Member {
+        Objects.requireNonNull(instance, "instance");
+        Objects.requireNonNull(address, "address");
+        Objects.requireNonNull(failureDomain, "failureDomain");
+        Objects.requireNonNull(service, "service");
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerResponse.java
@@ -0,0 +1,125 @@
+package org.siskintiller.router.ingress;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.IntConsumer;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import org.siskintiller.router.request.Header;
+import org.siskintiller.router.request.ResponseHead;
+
+/** Response to one request. It is written when the responses to all earlier requests of the connection are complete. */
+public final class CallerResponse {
+    private final CallerConnection connection;
+    private final Deque<HttpObject> held = new ArrayDeque<>();
+    private IntConsumer written = bytes -> {};
+    private boolean first;
+    private boolean complete;
+    private boolean headRequest;
+
+    CallerResponse(CallerConnection connection, boolean headRequest) {
+        this.connection = connection;
+        this.headRequest = headRequest;
+    }
+
+    /** Registers who hears how many bytes of the body have left for the caller. */
+    public void onWritten(IntConsumer listener) {
+        written = listener;
+    }
+
+    /** Sends a whole response. */
+    public void send(int status, List<Header> headers, byte[] body) {
+        DefaultFullHttpResponse message = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
+        addHeaders(message.headers(), headers);
+        message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        complete = true;
+        emit(message);
+    }
+
+    /** Starts a response whose body follows. */
+    public void start(ResponseHead head) {
+        DefaultHttpResponse message =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status()));
+        addHeaders(message.headers(), head.headers());
+        if (head.length() == ResponseHead.UNKNOWN_LENGTH) {
+            if (!headRequest) {
+                message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            }
+        } else {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, head.length());
+        }
+        emit(message);
+    }
+
+    public void data(byte[] data, boolean last) {
+        complete = complete || last;
+        emit(
+                last
+                        ? new DefaultLastHttpContent(Unpooled.wrappedBuffer(data))
+                        : new DefaultHttpContent(Unpooled.wrappedBuffer(data)));
+    }
+
+    /** Ends a response that cannot be completed, so that the caller sees that it is not whole. */
+    public void abort() {
+        complete = true;
+        connection.abort(this);
+    }
+
+    boolean complete() {
+        return complete && held.isEmpty();
+    }
+
+    boolean unanswered() {
+        return !complete;
+    }
+
+    /** Makes this the first response of the connection and writes what was held back. */
+    void becomeFirst(Channel channel) {
+        first = true;
+        while (!held.isEmpty()) {
+            write(channel, held.poll());
+        }
+    }
+
+    private void emit(HttpObject message) {
+        if (!first) {
+            held.add(message);
+            return;
+        }
+        write(connection.channel(), message);
+        connection.advance();
+    }
+
+    private void write(Channel channel, HttpObject message) {
+        if (message instanceof DefaultHttpResponse response) {
+            connection.closeIfStopping(response.headers(), complete);
+        }
+        int bytes = message instanceof DefaultHttpContent content
+                ? content.content().readableBytes()
+                : 0;
+        channel.writeAndFlush(message).addListener(done -> {
+            if (done.isSuccess() && bytes > 0) {
+                written.accept(bytes);
+            }
+        });
+    }
+
+    private static void addHeaders(HttpHeaders target, List<Header> headers) {
+        for (Header header : headers) {
+            target.add(header.name(), header.value());
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
@@ -0,0 +1,118 @@
+package org.siskintiller.router.ingress;
+
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
+import org.siskintiller.core.model.Address;
+import org.siskintiller.core.path.CallerLimits;
+
+/** HTTP server for callers, or for local pages and heartbeats. */
+public final class CallerServer {
+    /** Bodies are held whole so that a request can be sent again, and are limited to this size. */
+    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+    private static final int BACKLOG = 512;
+    private static final int MAX_INITIAL_LINE_BYTES = 16_384;
+    private static final int MAX_HEADER_BYTES = 65_536;
+
+    private final EventLoop loop;
+    private final CallerHandler handler;
+    private final Supplier<CallerLimits> limits;
+    private final Set<CallerConnection> connections = new HashSet<>();
+    private boolean stopping;
+    private Channel server;
+
+    public CallerServer(EventLoop loop, CallerHandler handler, Supplier<CallerLimits> limits) {
+        this.loop = loop;
+        this.handler = handler;
+        this.limits = limits;
+    }
+
+    public void bind(Address address) throws IOException {
+        HttpDecoderConfig decoder = new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+                .setMaxHeaderSize(MAX_HEADER_BYTES);
+        try {
+            server = new ServerBootstrap()
+                    .group(loop)
+                    .channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .option(ChannelOption.SO_REUSEADDR, true)
+                    .childOption(ChannelOption.TCP_NODELAY, true)
+                    .childHandler(new ChannelInitializer<SocketChannel>() {
+                        @Override
+                        protected void initChannel(SocketChannel channel) {
+                            channel.pipeline()
+                                    .addLast(new HttpServerCodec(decoder))
+                                    .addLast(new IdleStateHandler(
+                                            limits.get().idleTimeoutMs(), 0, 0, TimeUnit.MILLISECONDS))
+                                    .addLast(new CallerConnection(CallerServer.this));
+                        }
+                    })
+                    .bind(address.host(), address.port())
+                    .sync()
+                    .channel();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while binding " + address, e);
+        } catch (RuntimeException e) {
+            throw e;
+        } catch (Exception e) {
+            // Netty throws the checked cause of a failed bind without declaring it.
+            throw new IOException("cannot bind " + address + ": " + e.getMessage(), e);
+        }
+    }
+
+    /** Returns the bound port. */
+    public int port() {
+        return ((java.net.InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    /** Announces the end of each connection with its next response. */
+    public void stop() {
+        stopping = true;
+    }
+
+    /** Closes the connections on which no response is due. */
+    public void closeIdle() {
+        List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
+    }
+
+    public void close() {
+        server.close();
+    }
+
+    boolean stopping() {
+        return stopping;
+    }
+
+    int maxBodyBytes() {
+        return (int) Math.min(MAX_BODY_BYTES, limits.get().maxBodyBytes());
+    }
+
+    CallerHandler handler() {
+        return handler;
+    }
+
+    void opened(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/ingress/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP towards callers: connections, ordered responses and local pages. */
+package org.siskintiller.router.ingress;
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/package-info.java
@@ -0,0 +1,2 @@
+/** Data path on one event loop: callers, companions, the backend server and the store. */
+package org.siskintiller.router;
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/peer/Frames.java
@@ -0,0 +1,273 @@
+package org.siskintiller.router.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import org.siskintiller.core.balance.BackendLoad;
+import org.siskintiller.core.gate.Suspicion;
+import org.siskintiller.core.keyrange.KeyRange;
+import org.siskintiller.core.lease.HolderReport;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.path.RequestKind;
+import org.siskintiller.router.request.ForwardedRequest;
+import org.siskintiller.router.request.Header;
+import org.siskintiller.router.request.Refusal;
+import org.siskintiller.router.request.RefusalReason;
+import org.siskintiller.router.request.ResponseHead;
+import org.siskintiller.router.request.SendFailure;
+import org.siskintiller.router.store.StoredRecord;
+import org.siskintiller.wire.companion.CompanionProto;
+import org.siskintiller.wire.companion.CompanionProto.Frame;
+
+/** Converts between the router's types and the frames between companions. Times are sent as what is left of them. */
+final class Frames {
+    private static final int UNKNOWN_SERVICE_US = 0;
+
+    private Frames() {}
+
+    static Frame request(int stream, ForwardedRequest request, long nowNs) {
+        CompanionProto.Request.Builder builder = CompanionProto.Request.newBuilder()
+                .setStream(stream)
+                .setService(request.service())
+                .setMethod(request.method())
+                .setUri(request.uri())
+                .setRequestId(request.requestId())
+                .setRemainingMs(leftMs(request.deadlineNs(), nowNs))
+                .setObjectiveMs(leftMs(request.objectiveNs(), nowNs))
+                .setPriority(request.priority())
+                .setIdempotent(request.kind().repeatable())
+                .setInternal(request.internal())
+                .setKeyPlusOne(request.key() + 1)
+                .setFingerprint(request.fingerprint());
+        for (Header header : request.headers()) {
+            builder.addHeaders(header(header));
+        }
+        if (request.body().length > 0) {
+            builder.setBody(ByteString.copyFrom(request.body()));
+        }
+        return Frame.newBuilder().setRequest(builder).build();
+    }
+
+    static ForwardedRequest request(CompanionProto.Request request, long nowNs) {
+        return new ForwardedRequest(
+                request.getRequestId(),
+                request.getService(),
+                request.getMethod(),
+                request.getUri(),
+                headers(request.getHeadersList()),
+                request.getBody().toByteArray(),
+                nowNs + TimeUnit.MILLISECONDS.toNanos(request.getRemainingMs()),
+                nowNs + TimeUnit.MILLISECONDS.toNanos(request.getObjectiveMs()),
+                request.getPriority(),
+                request.getIdempotent() ? RequestKind.IDEMPOTENT : RequestKind.NON_IDEMPOTENT,
+                request.getInternal(),
+                request.getKeyPlusOne() - 1,
+                request.getFingerprint());
+    }
+
+    static Frame cancel(int stream) {
+        return Frame.newBuilder()
+                .setCancel(CompanionProto.Cancel.newBuilder().setStream(stream))
+                .build();
+    }
+
+    static Frame credit(int stream, int bytes) {
+        return Frame.newBuilder()
+                .setCredit(CompanionProto.Credit.newBuilder().setStream(stream).setBytes(bytes))
+                .build();
+    }
+
+    static Frame started(int stream, ResponseHead head, BackendLoad load) {
+        CompanionProto.ResponseStart.Builder builder = CompanionProto.ResponseStart.newBuilder()
+                .setStream(stream)
+                .setStatus(head.status())
+                .setLengthPlusOne(head.length() + 1)
+                .setLoad(load(load));
+        for (Header header : head.headers()) {
+            builder.addHeaders(header(header));
+        }
+        return Frame.newBuilder().setResponseStart(builder).build();
+    }
+
+    static ResponseHead started(CompanionProto.ResponseStart start) {
+        return new ResponseHead(start.getStatus(), headers(start.getHeadersList()), start.getLengthPlusOne() - 1);
+    }
+
+    static Frame data(int stream, byte[] data, boolean last) {
+        return Frame.newBuilder()
+                .setResponseData(CompanionProto.ResponseData.newBuilder()
+                        .setStream(stream)
+                        .setData(ByteString.copyFrom(data))
+                        .setLast(last))
+                .build();
+    }
+
+    static Frame refused(int stream, Refusal refusal, BackendLoad load) {
+        return Frame.newBuilder()
+                .setRefusal(CompanionProto.Refusal.newBuilder()
+                        .setStream(stream)
+                        .setReason(refusal.reason().ordinal())
+                        .setRetryAfterMs((int) refusal.retryAfterMs())
+                        .setArrived(refusal.arrived())
+                        .setLoad(load(load)))
+                .build();
+    }
+
+    static Refusal refused(CompanionProto.Refusal refusal) {
+        return new Refusal(RefusalReason.of(refusal.getReason()), refusal.getRetryAfterMs(), refusal.getArrived());
+    }
+
+    static Frame failed(int stream, SendFailure failure, BackendLoad load) {
+        return Frame.newBuilder()
+                .setFailure(CompanionProto.Failure.newBuilder()
+                        .setStream(stream)
+                        .setTimedOut(failure.timedOut())
+                        .setLoad(load(load)))
+                .build();
+    }
+
+    static CompanionProto.Load load(BackendLoad load) {
+        return CompanionProto.Load.newBuilder()
+                .setRunning(load.running())
+                .setQueued(load.queued())
+                .setSlots(load.slots())
+                .setMeanServiceUs(load.meanServiceUs())
+                .build();
+    }
+
+    static BackendLoad load(CompanionProto.Load load) {
+        int meanUs = load.getMeanServiceUs() < 0 ? UNKNOWN_SERVICE_US : load.getMeanServiceUs();
+        return new BackendLoad(load.getRunning(), load.getQueued(), Math.max(1, load.getSlots()), meanUs);
+    }
+
+    static Frame renewal(HolderReport report, long term, int sequence) {
+        CompanionProto.Renewal.Builder builder = CompanionProto.Renewal.newBuilder()
+                .setTerm(term)
+                .setSequence(sequence)
+                .setService(report.service())
+                .setBackendServing(report.serving())
+                .setBackendRun(report.run())
+                .setLastFence(report.lastFence())
+                .setCapacity((float) report.capacity());
+        for (HolderReport.Released released : report.released()) {
+            builder.addReleased(CompanionProto.Range.newBuilder()
+                    .setFrom(released.range().from())
+                    .setTo(released.range().to())
+                    .setFence(released.fence())
+                    .setHandover(released.handover()));
+        }
+        report.rates()
+                .forEach((bucket, rate) -> builder.addKeyLoads(
+                        CompanionProto.KeyLoad.newBuilder().setBucket(bucket).setRate(rate.floatValue())));
+        return Frame.newBuilder().setRenewal(builder).build();
+    }
+
+    static HolderReport renewal(CompanionProto.Renewal renewal, String instance) {
+        List<HolderReport.Released> released = new ArrayList<>();
+        for (CompanionProto.Range range : renewal.getReleasedList()) {
+            KeyRange keys = new KeyRange(range.getFrom(), range.getTo());
+            released.add(new HolderReport.Released(keys, range.getFence(), range.getHandover()));
+        }
+        Map<Integer, Double> rates = new HashMap<>();
+        for (CompanionProto.KeyLoad load : renewal.getKeyLoadsList()) {
+            rates.put(load.getBucket(), (double) load.getRate());
+        }
+        return new HolderReport(
+                instance,
+                renewal.getService(),
+                renewal.getBackendRun(),
+                renewal.getBackendServing(),
+                renewal.getCapacity(),
+                renewal.getLastFence(),
+                released,
+                rates);
+    }
+
+    static Frame leaseReply(LeaseReply reply) {
+        CompanionProto.LeaseReply.Builder builder = CompanionProto.LeaseReply.newBuilder()
+                .setTerm(reply.term())
+                .setSequence(reply.sequence())
+                .setLeaseMs((int) reply.leaseMs());
+        for (KeyRange range : reply.release()) {
+            builder.addRelease(
+                    CompanionProto.Range.newBuilder().setFrom(range.from()).setTo(range.to()));
+        }
+        for (StoredRecord record : reply.records()) {
+            builder.addRecords(record(record));
+        }
+        return Frame.newBuilder().setLeaseReply(builder).build();
+    }
+
+    static LeaseReply leaseReply(CompanionProto.LeaseReply reply) {
+        List<KeyRange> release = new ArrayList<>();
+        for (CompanionProto.Range range : reply.getReleaseList()) {
+            release.add(new KeyRange(range.getFrom(), range.getTo()));
+        }
+        return new LeaseReply(
+                reply.getTerm(), reply.getSequence(), reply.getLeaseMs(), release, records(reply.getRecordsList()));
+    }
+
+    static Frame sharedRecords(List<StoredRecord> records) {
+        CompanionProto.SharedRecords.Builder builder = CompanionProto.SharedRecords.newBuilder();
+        for (StoredRecord record : records) {
+            builder.addRecords(record(record));
+        }
+        return Frame.newBuilder().setSharedRecords(builder).build();
+    }
+
+    static List<StoredRecord> records(List<CompanionProto.SharedRecord> shared) {
+        List<StoredRecord> records = new ArrayList<>();
+        for (CompanionProto.SharedRecord record : shared) {
+            records.add(new StoredRecord(record.getKey(), record.getValue().toByteArray(), record.getOffset()));
+        }
+        return records;
+    }
+
+    static Frame suspicions(Suspicion suspicion) {
+        CompanionProto.Suspicions.Builder builder = CompanionProto.Suspicions.newBuilder();
+        builder.addFingerprints(suspicion.fingerprint());
+        for (Incarnation incarnation : suspicion.lostAt()) {
+            builder.addLostAt(incarnation.id());
+        }
+        return Frame.newBuilder().setSuspicions(builder).build();
+    }
+
+    static List<Suspicion> suspicions(CompanionProto.Suspicions frame) {
+        Set<Incarnation> lostAt = new HashSet<>();
+        frame.getLostAtList().forEach(id -> lostAt.add(new Incarnation(id)));
+        List<Suspicion> suspicions = new ArrayList<>();
+        frame.getFingerprintsList().forEach(fingerprint -> suspicions.add(new Suspicion(fingerprint, lostAt)));
+        return suspicions;
+    }
+
+    private static CompanionProto.SharedRecord record(StoredRecord record) {
+        return CompanionProto.SharedRecord.newBuilder()
+                .setKey(record.key())
+                .setValue(ByteString.copyFrom(record.value()))
+                .setOffset(record.offset())
+                .build();
+    }
+
+    private static CompanionProto.Header header(Header header) {
+        return CompanionProto.Header.newBuilder()
+                .setName(header.name())
+                .setValue(header.value())
+                .build();
+    }
+
+    private static List<Header> headers(List<CompanionProto.Header> headers) {
+        List<Header> converted = new ArrayList<>(headers.size());
+        headers.forEach(header -> converted.add(new Header(header.getName(), header.getValue())));
+        return converted;
+    }
+
+    private static int leftMs(long atNs, long nowNs) {
+        return (int) Math.max(0, TimeUnit.NANOSECONDS.toMillis(atNs - nowNs));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerPipeline.java
@@ -0,0 +1,27 @@
+package org.siskintiller.router.peer;
+
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import org.siskintiller.wire.companion.CompanionProto.Frame;
+
+/** Framing between companions: four bytes of length, then a protobuf message. */
+final class PeerPipeline {
+    /** A request body of 4 MiB with its headers fits. */
+    private static final int MAX_FRAME_BYTES = 5 * 1024 * 1024;
+
+    private static final int LENGTH_BYTES = 4;
+
+    private PeerPipeline() {}
+
+    static void add(ChannelPipeline pipeline, ChannelHandler handler) {
+        pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+        pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+        pipeline.addLast(new ProtobufDecoder(Frame.getDefaultInstance()));
+        pipeline.addLast(new ProtobufEncoder());
+        pipeline.addLast(handler);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -0,0 +1,232 @@
+package org.siskintiller.router.peer;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import org.siskintiller.core.balance.BackendLoad;
+import org.siskintiller.core.model.Address;
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.backend.BackendGate;
+import org.siskintiller.router.request.Refusal;
+import org.siskintiller.router.request.ResponseHead;
+import org.siskintiller.router.request.ResponseListener;
+import org.siskintiller.router.request.SendFailure;
+import org.siskintiller.router.request.SentRequest;
+import org.siskintiller.wire.companion.CompanionProto;
+import org.siskintiller.wire.companion.CompanionProto.Frame;
+
+/** Accepts the connections of other companions and passes their requests to the gate of this machine. */
+public final class PeerServer {
+    private static final int BACKLOG = 256;
+
+    private final EventLoop loop;
+    private final BackendGate gate;
+    private final PeerEvents events;
+    private final Set<Connection> connections = new HashSet<>();
+    private Channel server;
+
+    public PeerServer(EventLoop loop, BackendGate gate, PeerEvents events) {
+        this.loop = loop;
+        this.gate = gate;
+        this.events = events;
+    }
+
+    public void bind(Address address) throws IOException {
+        try {
+            server = new ServerBootstrap()
+                    .group(loop)
+                    .channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .option(ChannelOption.SO_REUSEADDR, true)
+                    .childOption(ChannelOption.TCP_NODELAY, true)
+                    .childHandler(new ChannelInitializer<SocketChannel>() {
+                        @Override
+                        protected void initChannel(SocketChannel channel) {
+                            PeerPipeline.add(channel.pipeline(), new Connection());
+                        }
+                    })
+                    .bind(address.host(), address.port())
+                    .sync()
+                    .channel();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while binding " + address, e);
+        } catch (RuntimeException e) {
+            throw e;
+        } catch (Exception e) {
+            // Netty throws the checked cause of a failed bind without declaring it.
+            throw new IOException("cannot bind " + address + ": " + e.getMessage(), e);
+        }
+    }
+
+    /** Tells the own status to all connected companions. */
+    public void publishStatus() {
+        Frame frame = statusFrame(events.status());
+        for (Connection connection : connections) {
+            connection.channel.writeAndFlush(frame);
+        }
+    }
+
+    public void close() {
+        server.close();
+    }
+
+    private static Frame statusFrame(PeerStatus status) {
+        return Frame.newBuilder()
+                .setStatus(CompanionProto.Status.newBuilder()
+                        .setService(status.service())
+                        .setServing(status.serving())
+                        .setLoad(Frames.load(status.load()))
+                        .setConfigVersion(status.configVersion())
+                        .setRecordsEnd(status.recordsEnd())
+                        .setHearsAuthority(status.hearsAuthority())
+                        .setTerm(status.term())
+                        .setStoreAgeMs((int) Math.min(Integer.MAX_VALUE, status.storeAgeMs()))
+                        .setStopping(status.stopping()))
+                .build();
+    }
+
+    private final class Connection extends SimpleChannelInboundHandler<Frame> {
+        private final Map<Integer, Stream> streams = new HashMap<>();
+        private Channel channel;
+        private String instance = "";
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            channel = context.channel();
+            connections.add(this);
+            channel.writeAndFlush(statusFrame(events.status()));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            connections.remove(this);
+            Set<Stream> open = new HashSet<>(streams.values());
+            streams.clear();
+            open.forEach(Stream::cancel);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            EventLog.log(LogEvent.PEER_MALFORMED, "peer", instance, "cause", String.valueOf(cause.getMessage()));
+            context.close();
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+            switch (frame.getKindCase()) {
+                case HELLO -> instance = frame.getHello().getInstance();
+                case REQUEST -> request(frame.getRequest());
+                case CANCEL -> cancel(frame.getCancel().getStream());
+                case CREDIT -> {
+                    Stream stream = streams.get(frame.getCredit().getStream());
+                    if (stream != null) {
+                        stream.sent.credit(frame.getCredit().getBytes());
+                    }
+                }
+                case RENEWAL -> {
+                    CompanionProto.Renewal renewal = frame.getRenewal();
+                    events.renewed(Frames.renewal(renewal, instance), renewal.getTerm(), renewal.getSequence())
+                            .ifPresent(reply -> channel.writeAndFlush(Frames.leaseReply(reply)));
+                }
+                case SHARED_CONFIG ->
+                    events.configShared(frame.getSharedConfig().getContent().toByteArray());
+                case SHARED_RECORDS ->
+                    events.recordsShared(Frames.records(frame.getSharedRecords().getRecordsList()));
+                case SUSPICIONS -> events.suspicionsReceived(Frames.suspicions(frame.getSuspicions()));
+                case RESIGNATION -> {
+                    if (events.resignationAsked(frame.getResignation().getTerm())) {
+                        channel.writeAndFlush(Frame.newBuilder()
+                                .setResignation(CompanionProto.Resignation.newBuilder()
+                                        .setTerm(frame.getResignation().getTerm())
+                                        .setAcknowledged(true))
+                                .build());
+                    }
+                }
+                default ->
+                    EventLog.log(
+                            LogEvent.PEER_MALFORMED, "peer", instance, "frame", String.valueOf(frame.getKindCase()));
+            }
+        }
+
+        private void request(CompanionProto.Request request) {
+            Stream stream = new Stream(this, request.getStream());
+            streams.put(stream.id, stream);
+            SentRequest sent = gate.send(Frames.request(request, System.nanoTime()), stream);
+            stream.sent = sent;
+        }
+
+        private void cancel(int id) {
+            Stream stream = streams.remove(id);
+            if (stream != null) {
+                stream.cancel();
+            }
+        }
+    }
+
+    /** Passes what comes of a request back to the companion that sent it. */
+    private final class Stream implements ResponseListener {
+        private final Connection connection;
+        private final int id;
+        private SentRequest sent;
+
+        private Stream(Connection connection, int id) {
+            this.connection = connection;
+            this.id = id;
+        }
+
+        @Override
+        public void started(ResponseHead head) {
+            write(Frames.started(id, head, load()));
+        }
+
+        @Override
+        public void data(byte[] data, boolean last) {
+            write(Frames.data(id, data, last));
+            if (last) {
+                connection.streams.remove(id);
+            }
+        }
+
+        @Override
+        public void refused(Refusal refusal) {
+            write(Frames.refused(id, refusal, load()));
+            connection.streams.remove(id);
+        }
+
+        @Override
+        public void failed(SendFailure failure) {
+            write(Frames.failed(id, failure, load()));
+            connection.streams.remove(id);
+        }
+
+        private void cancel() {
+            if (sent != null) {
+                sent.cancel();
+            }
+        }
+
+        private BackendLoad load() {
+            return gate.load();
+        }
+
+        private void write(Frame frame) {
+            if (connection.streams.containsKey(id)) {
+                connection.channel.writeAndFlush(frame);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/request/Backends.java
@@ -0,0 +1,24 @@
+package org.siskintiller.router.request;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.siskintiller.core.balance.DelayEstimate;
+
+/** Backend servers that requests can be sent to. */
+public interface Backends {
+    /** Returns those of a service that take requests without a key. */
+    List<DelayEstimate> candidates(String service);
+
+    /** Returns the way to the backend server beside an instance, if it is connected and takes requests. */
+    Optional<Destination> destination(String instance);
+
+    /** Returns the instance beside the holder of a key. */
+    Optional<String> holderOf(String service, int key);
+
+    /** Notes a request that was sent, until the next load report. */
+    void sent(String instance);
+
+    /** Notes how a request ended, for the failure rate. */
+    void ended(String instance, boolean failed);
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/request/Header.java
@@ -0,0 +1,4 @@
+package org.siskintiller.router.request;
+
+/** Header field. */
+public record Header(String name, String value) {}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/request/HeaderNames.java
@@ -0,0 +1,23 @@
+package org.siskintiller.router.request;
+
+/**
+ * Names of the header fields that the router reads or sets.
+ *
+ * @param requestId id of one send of a caller, repeated by the response
+ * @param deadlineMs time that the caller will wait
+ * @param expectedInstance backend server that the request is for; any other rejects it
+ * @param callerService service of the machine where the request began
+ * @param key key of a request to a keyed service
+ * @param notExecuted states that a backend server rejected the request without running it
+ * @param load running, waiting and slots of a backend server
+ * @param instance id of the backend server that answered
+ */
+public record HeaderNames(
+        String requestId,
+        String deadlineMs,
+        String expectedInstance,
+        String callerService,
+        String key,
+        String notExecuted,
+        String load,
+        String instance) {}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/request/ResponseListener.java
@@ -0,0 +1,12 @@
+package org.siskintiller.router.request;
+
+/** Receives what comes of a send: a response in parts, a refusal or a failure. Exactly one of them ends it. */
+public interface ResponseListener {
+    void started(ResponseHead head);
+
+    void data(byte[] data, boolean last);
+
+    void refused(Refusal refusal);
+
+    void failed(SendFailure failure);
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/store/StoreTopic.java
@@ -0,0 +1,9 @@
+package org.siskintiller.router.store;
+
+/** Topics that keep the newest record of each key. */
+public enum StoreTopic {
+    /** Written by the operator. */
+    OPERATOR,
+    /** Written by companions: members, lease authority and key tables. */
+    CONTROL
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
@@ -0,0 +1,135 @@
+package org.siskintiller.router.store;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import io.netty.channel.EventLoop;
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
+
+/** Follows a topic: the newest record of each key first, then every record as it is appended. */
+public final class TopicFeed {
+    /** First pause after a failed call. */
+    private static final long FIRST_PAUSE_MS = 150;
+    /** Longest pause: entries must be back within about 2 s of the store's return. */
+    private static final long LONGEST_PAUSE_MS = 800;
+    /** Wait of a read without news. The store accepts up to 30 s; calls are priced. */
+    private static final long WAIT_MS = 8_000;
+    /** Wait where the age of the last contact matters, as for the lease authority. The age is at most twice that. */
+    private static final long SHORT_WAIT_MS = 1_000;
+
+    private final RecordStore store;
+    private final StoreTopic topic;
+    private final EventLoop loop;
+    private final BooleanSupplier shortWaits;
+    private final FeedListener listener;
+    private long next;
+    private boolean positioned;
+    private boolean reachable;
+    private boolean everReached;
+    private long contactNs;
+    private long pauseMs = FIRST_PAUSE_MS;
+    private boolean closed;
+
+    public TopicFeed(
+            RecordStore store, StoreTopic topic, EventLoop loop, BooleanSupplier shortWaits, FeedListener listener) {
+        this.store = store;
+        this.topic = topic;
+        this.loop = loop;
+        this.shortWaits = shortWaits;
+        this.listener = listener;
+        this.contactNs = System.nanoTime() - TimeUnit.HOURS.toNanos(1);
+    }
+
+    public void start() {
+        call();
+    }
+
+    public void close() {
+        closed = true;
+    }
+
+    /** Offset up to which all records have been read, or -1 before the first read. */
+    public long position() {
+        return positioned ? next : -1;
+    }
+
+    public boolean reachable() {
+        return reachable;
+    }
+
+    /** Time at which the last successful read was sent. */
+    public long contactNs() {
+        return contactNs;
+    }
+
+    private void call() {
+        if (closed) {
+            return;
+        }
+        long sentNs = System.nanoTime();
+        if (positioned) {
+            long waitMs = shortWaits.getAsBoolean() ? SHORT_WAIT_MS : WAIT_MS;
+            store.read(topic, next, waitMs, result -> received(result, sentNs));
+        } else {
+            store.newest(topic, result -> received(result, sentNs));
+        }
+    }
+
+    private void received(StoreResult<RecordBatch> result, long sentNs) {
+        if (result instanceof StoreResult.Done<RecordBatch> done) {
+            contactNs = sentNs;
+            regained();
+            boolean first = !positioned;
+            next = done.value().next();
+            positioned = true;
+            for (StoredRecord record : done.value().records()) {
+                listener.record(record);
+            }
+            if (first) {
+                listener.caughtUp();
+            }
+            listener.progressed();
+            call();
+            return;
+        }
+        if (result instanceof StoreResult.Expired<RecordBatch>) {
+            EventLog.log(LogEvent.LOG_EXPIRED, "topic", topic, "position", next);
+            positioned = false;
+            call();
+            return;
+        }
+        lost(result);
+        long jitterMs = (sentNs >>> 10) % FIRST_PAUSE_MS;
+        loop.schedule(this::call, pauseMs + jitterMs, TimeUnit.MILLISECONDS);
+        pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+    }
+
+    private void regained() {
+        pauseMs = FIRST_PAUSE_MS;
+        if (!reachable) {
+            EventLog.log(LogEvent.LOG_AVAILABLE, "topic", topic, "first", !everReached);
+        }
+        reachable = true;
+        everReached = true;
+    }
+
+    private void lost(StoreResult<RecordBatch> result) {
+        if (reachable || !everReached) {
+            EventLog.log(LogEvent.LOG_UNAVAILABLE, "topic", topic, "position", next, "cause", result.toString());
+        }
+        reachable = false;
+        everReached = true;
+    }
+
+    /** Receives the records of a topic in order. A record may be seen again after a gap. */
+    public interface FeedListener {
+        void record(StoredRecord record);
+
+        /** All newest records have been seen once. */
+        default void caughtUp() {}
+
+        /** A read ended. */
+        default void progressed() {}
+    }
+}
