--- a/router/src/main/java/org/siskintiller/router/control/PeerDirectory.java
+++ b/router/src/main/java/org/siskintiller/router/control/PeerDirectory.java
@@ -11,6 +11,7 @@
 import io.netty.channel.EventLoop;
 import org.siskintiller.core.balance.DelayEstimate;
 import org.siskintiller.core.keyrange.KeyGrant;
+import org.siskintiller.core.path.RequestKind;
 import org.siskintiller.router.backend.BackendGate;
 import org.siskintiller.router.peer.PeerClient;
 import org.siskintiller.router.peer.PeerEvents;
@@ -21,7 +22,9 @@
 /** Connections to all other companions, and the backend servers behind them. */
 public final class PeerDirectory implements Backends {
     /** Price of the way to another failure domain: bytes between domains cost, and it takes about 2 ms. */
-    private static final long OTHER_DOMAIN_NS = TimeUnit.MILLISECONDS.toNanos(12);
+    private static final long OTHER_DOMAIN_NS = TimeUnit.MILLISECONDS.toNanos(15);
+    /** The same for a download, whose response is many times larger. */
+    private static final long OTHER_DOMAIN_DOWNLOAD_NS = TimeUnit.MILLISECONDS.toNanos(120);
     /** The same for another machine of the own domain. */
     private static final long OTHER_MACHINE_NS = TimeUnit.MILLISECONDS.toNanos(1);
     /** Weight of the newest result in a failure rate. */
@@ -82,7 +85,7 @@
     }
 
     @Override
-    public List<DelayEstimate> candidates(String service) {
+    public List<DelayEstimate> candidates(String service, RequestKind kind) {
         List<DelayEstimate> candidates = new ArrayList<>();
         if (service.equals(ownService) && gate.attracts(System.nanoTime())) {
             candidates.add(new DelayEstimate(self, gate.load(), 0, failureRate(self), 0));
@@ -97,7 +100,7 @@
                     client.load(),
                     client.sentSinceReport(),
                     failureRate(client.instance()),
-                    wayNs(client.instance())));
+                    wayNs(client.instance(), kind)));
         }
         return candidates;
     }
@@ -131,9 +134,12 @@
         return failureRates.getOrDefault(instance, 0.0);
     }
 
-    private long wayNs(String instance) {
+    private long wayNs(String instance, RequestKind kind) {
         Member member = state.members().get(instance);
         boolean sameDomain = member != null && member.failureDomain().equals(ownDomain);
-        return sameDomain ? OTHER_MACHINE_NS : OTHER_DOMAIN_NS;
+        if (sameDomain) {
+            return OTHER_MACHINE_NS;
+        }
+        return kind == RequestKind.DOWNLOAD ? OTHER_DOMAIN_DOWNLOAD_NS : OTHER_DOMAIN_NS;
     }
 }
--- a/router/src/main/java/org/siskintiller/router/request/Backends.java
+++ b/router/src/main/java/org/siskintiller/router/request/Backends.java
@@ -4,11 +4,12 @@
 import java.util.Optional;
 
 import org.siskintiller.core.balance.DelayEstimate;
+import org.siskintiller.core.path.RequestKind;
 
 /** Backend servers that requests can be sent to. */
 public interface Backends {
     /** Returns those of a service that take requests without a key. */
-    List<DelayEstimate> candidates(String service);
+    List<DelayEstimate> candidates(String service, RequestKind kind);
 
     /** Returns the way to the backend server beside an instance, if it is connected and takes requests. */
     Optional<Destination> destination(String instance);
--- a/router/src/main/java/org/siskintiller/router/request/RequestTask.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTask.java
@@ -108,7 +108,7 @@
         if (request.key() != ForwardedRequest.NO_KEY) {
             return router.backends().holderOf(request.service(), request.key());
         }
-        return LeastDelay.choose(router.backends().candidates(request.service()), excluded);
+        return LeastDelay.choose(router.backends().candidates(request.service(), request.kind()), excluded);
     }
 
     private void send(String target, Destination destination) {
