--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -145,6 +145,11 @@
         });
     }
 
+    /** Version of the configuration in force, 0 while none is known. */
+    public long configVersion() {
+        return config.version();
+    }
+
     public void awaitStop() throws InterruptedException {
         stopped.await();
     }
--- a/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
+++ b/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
@@ -15,7 +15,7 @@
     private final ConfigDecoder decoder;
     private final RequestRouter router;
     private final TopicFeed feed;
-    private RouteTable routes;
+    private volatile RouteTable routes;
     private byte[] content = new byte[0];
 
     public ConfigFeed(RecordStore store, EventLoop loop, ConfigDecoder decoder, RequestRouter router) {
