Answer the first heartbeat of a run when its keys are assigned

Change: the answer to the first heartbeat of a run waits up to 450 ms for the assignment. The time until which requests are sent counts from the heartbeat. Frames and parts of responses that are written in one pass share a flush.

--- a/core/src/main/java/org/siskintiller/core/lease/KeyHolder.java
+++ b/core/src/main/java/org/siskintiller/core/lease/KeyHolder.java
@@ -21,6 +21,7 @@
     private long leaseUntilNs;
     private long run;
     private long sequence = Long.MIN_VALUE;
+    private long beatNs;
     /** Grants end on the backend server's side not before this time, however they were received. */
     private long grantsVoidNs;
     /** Grants are surely in force until this time. */
@@ -83,6 +84,7 @@
             startRun(beat.run());
         }
         sequence = beat.sequence();
+        beatNs = nowNs;
         handovers.addAll(beat.handovers());
         if (releaseAll) {
             for (KeyGrant grant : assigned) {
@@ -96,6 +98,29 @@
         return answer(nowNs);
     }
 
+    /** Returns what an answer that is sent now grants to the backend server whose heartbeat came last. */
+    public BeatAnswer answer(long nowNs) {
+        double drift = 1 + LeaseTiming.BACKEND_CLOCK_DRIFT;
+        long leftNs = leaseUntilNs - nowNs - LeaseTiming.MARGIN_NS;
+        long holdMs = Math.min(holdMaxMs, (long) (leftNs / drift / 1_000_000));
+        if (leftNs < LeaseTiming.LEAST_HOLD_NS) {
+            return BeatAnswer.RENEWS_NOTHING;
+        }
+        List<KeyGrant> grants = new ArrayList<>();
+        for (KeyGrant grant : assigned) {
+            if (grant.run() == run) {
+                grants.add(grant);
+            }
+        }
+        granted = withoutReleased(grants);
+        long holdNs = holdMs * 1_000_000;
+        long voidNs = nowNs + Math.round(holdNs * drift) + LeaseTiming.MARGIN_NS;
+        grantsVoidNs = grantsVoidNs == Long.MAX_VALUE ? voidNs : Math.max(grantsVoidNs, voidNs);
+        // The backend server counts from the time at which it sent the heartbeat.
+        grantsUntilNs = beatNs + holdNs - LeaseTiming.MARGIN_NS;
+        return new BeatAnswer(granted, holdMs);
+    }
+
     /** Reports ranges as released once a silent backend server cannot hold them any more. */
     public void tick(long nowNs) {
         if (grantsVoidNs == Long.MAX_VALUE && assigned.stream().anyMatch(this::isUnreleased)) {
@@ -150,27 +175,6 @@
         return nowNs < leaseUntilNs;
     }
 
-    private BeatAnswer answer(long nowNs) {
-        double drift = 1 + LeaseTiming.BACKEND_CLOCK_DRIFT;
-        long leftNs = leaseUntilNs - nowNs - LeaseTiming.MARGIN_NS;
-        long holdMs = Math.min(holdMaxMs, (long) (leftNs / drift / 1_000_000));
-        if (leftNs < LeaseTiming.LEAST_HOLD_NS) {
-            return BeatAnswer.RENEWS_NOTHING;
-        }
-        List<KeyGrant> grants = new ArrayList<>();
-        for (KeyGrant grant : assigned) {
-            if (grant.run() == run) {
-                grants.add(grant);
-            }
-        }
-        granted = withoutReleased(grants);
-        long holdNs = holdMs * 1_000_000;
-        long voidNs = nowNs + Math.round(holdNs * drift) + LeaseTiming.MARGIN_NS;
-        grantsVoidNs = grantsVoidNs == Long.MAX_VALUE ? voidNs : Math.max(grantsVoidNs, voidNs);
-        grantsUntilNs = nowNs + holdNs - LeaseTiming.MARGIN_NS;
-        return new BeatAnswer(granted, holdMs);
-    }
-
     private void startRun(long newRun) {
         run = newRun;
         granted = List.of();
--- a/core/src/test/java/org/siskintiller/core/lease/KeyHolderTest.java
+++ b/core/src/test/java/org/siskintiller/core/lease/KeyHolderTest.java
@@ -54,6 +54,20 @@
             assertThat(beat(RUN - 1, 100 * MS)).isEqualTo(BeatAnswer.RENEWS_NOTHING);
         }
 
+        /** Guards against requests that are sent after a hold that began with the heartbeat, not with its answer. */
+        @Test
+        void countsADeferredAnswerFromTheHeartbeat() {
+            holder.renewed(0, 3_500);
+            assertThat(beat(RUN, 0).grants()).isEmpty();
+            holder.assign(List.of(GRANT));
+
+            BeatAnswer answer = holder.answer(400 * MS);
+
+            assertThat(answer.grants()).containsExactly(GRANT);
+            assertThat(holder.serves(1, answer.holdMs() * MS)).isFalse();
+            assertThat(holder.serves(1, (answer.holdMs() - 100) * MS)).isTrue();
+        }
+
         /** Guards against a request that is sent when the backend server may hold the key no more. */
         @Test
         void servesOnlyWhileTheHoldLasts() {
--- a/router/src/main/java/org/siskintiller/router/backend/HeartbeatHandler.java
+++ b/router/src/main/java/org/siskintiller/router/backend/HeartbeatHandler.java
@@ -2,7 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Function;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 import org.siskintiller.core.lease.BackendBeat;
 import org.siskintiller.core.lease.BeatAnswer;
@@ -22,9 +23,10 @@
 
     private final HeartbeatCodec codec;
     private final BackendGate gate;
-    private final Function<BackendBeat, BeatAnswer> keys;
+    private final BiConsumer<BackendBeat, Consumer<BeatAnswer>> keys;
 
-    public HeartbeatHandler(HeartbeatCodec codec, BackendGate gate, Function<BackendBeat, BeatAnswer> keys) {
+    public HeartbeatHandler(
+            HeartbeatCodec codec, BackendGate gate, BiConsumer<BackendBeat, Consumer<BeatAnswer>> keys) {
         this.codec = codec;
         this.gate = gate;
         this.keys = keys;
@@ -52,7 +54,10 @@
 
     private void heartbeat(HeartbeatCodec.Heartbeat heartbeat, CallerResponse response, long nowNs) {
         boolean current = gate.announced(heartbeat.announcement(), nowNs);
-        BeatAnswer answer = current ? keys.apply(heartbeat.beat()) : BeatAnswer.RENEWS_NOTHING;
-        response.send(OK, JSON, codec.encode(answer));
+        if (!current) {
+            response.send(OK, JSON, codec.encode(BeatAnswer.RENEWS_NOTHING));
+            return;
+        }
+        keys.accept(heartbeat.beat(), answer -> response.send(OK, JSON, codec.encode(answer)));
     }
 }
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
 import org.siskintiller.core.gate.Suspicion;
@@ -59,6 +60,8 @@
     private static final long PAUSE_MS = 400;
     /** An append that was not answered is tried again after this time. */
     private static final long APPEND_RETRY_NS = 700_000_000L;
+    /** Longest delay of the first answer of a run. A backend server waits 1 s for it. */
+    private static final long DEFERRED_ANSWER_MS = 450;
     /** Requests a second that one slot serves while nothing was measured. */
     private static final double UNKNOWN_RATE_OF_SLOT = 5;
 
@@ -93,6 +96,9 @@
     private long clockOffsetMs;
     private String predecessor = "";
     private boolean predecessorGone;
+    /** Answer to a heartbeat that waits for an assignment of keys. */
+    private Consumer<BeatAnswer> deferredAnswer;
+
     private boolean caughtUp;
     private boolean stopping;
 
@@ -142,21 +148,44 @@
         return caughtUp || !state.members().isEmpty();
     }
 
-    /** Takes the keys of a heartbeat and returns what its answer grants. */
-    public BeatAnswer beat(BackendBeat beat) {
+    /**
+     * Takes the keys of a heartbeat and answers with what is granted. The first heartbeat of a run is answered a little
+     * later when its keys are about to be assigned, since the next one comes only after a whole interval.
+     */
+    public void beat(BackendBeat beat, Consumer<BeatAnswer> answer) {
         long nowNs = System.nanoTime();
         checkPause();
+        boolean firstOfRun = beat.run() != holder.run();
         int releasedBefore = holder.released().size();
         if (presence.leaving()) {
             holder.releaseAll();
         }
-        BeatAnswer answer = holder.beat(beat, nowNs);
+        BeatAnswer granted = holder.beat(beat, nowNs);
         if (holder.released().size() != releasedBefore) {
             EventLog.log(LogEvent.KEYS_RELEASED, "ranges", String.valueOf(holder.released()));
             renew(nowNs);
         }
+        if (firstOfRun && granted.grants().isEmpty() && isKeyed(settings.self().service())) {
+            if (deferredAnswer != null) {
+                deferredAnswer.accept(BeatAnswer.RENEWS_NOTHING);
+            }
+            deferredAnswer = answer;
+            loop.schedule(this::answerDeferred, DEFERRED_ANSWER_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
         gate.keysChanged();
-        return answer;
+        answer.accept(granted);
+    }
+
+    private void answerDeferred() {
+        if (deferredAnswer == null) {
+            return;
+        }
+        Consumer<BeatAnswer> answer = deferredAnswer;
+        deferredAnswer = null;
+        BeatAnswer granted = holder.answer(System.nanoTime());
+        gate.keysChanged();
+        answer.accept(granted);
     }
 
     @Override
@@ -228,6 +257,9 @@
                 table.grants().size());
         if (service.equals(settings.self().service())) {
             holder.assign(table.heldBy(self));
+            if (!table.heldBy(self).isEmpty()) {
+                answerDeferred();
+            }
             gate.keysChanged();
         }
         router.backendsChanged();
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.timeout.IdleStateHandler;
 import org.siskintiller.core.model.Address;
 import org.siskintiller.core.path.CallerLimits;
@@ -26,6 +27,9 @@
     private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
     private static final int BACKLOG = 512;
+    /** Parts of responses that are written together at most; each flush is a system call. */
+    private static final int FLUSHES = 64;
+
     private static final int MAX_INITIAL_LINE_BYTES = 16_384;
     private static final int MAX_HEADER_BYTES = 65_536;
 
@@ -57,6 +61,7 @@
                         @Override
                         protected void initChannel(SocketChannel channel) {
                             channel.pipeline()
+                                    .addLast(new FlushConsolidationHandler(FLUSHES, true))
                                     .addLast(new HttpServerCodec(decoder))
                                     .addLast(new IdleStateHandler(
                                             limits.get().idleTimeoutMs(), 0, 0, TimeUnit.MILLISECONDS))
--- a/router/src/main/java/org/siskintiller/router/peer/PeerPipeline.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerPipeline.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import org.siskintiller.wire.companion.CompanionProto.Frame;
 
 /** Framing between companions: four bytes of length, then a protobuf message. */
@@ -14,10 +15,13 @@
     private static final int MAX_FRAME_BYTES = 5 * 1024 * 1024;
 
     private static final int LENGTH_BYTES = 4;
+    /** Frames that are written together at most; each flush is a system call. */
+    private static final int FLUSHES = 64;
 
     private PeerPipeline() {}
 
     static void add(ChannelPipeline pipeline, ChannelHandler handler) {
+        pipeline.addLast(new FlushConsolidationHandler(FLUSHES, true));
         pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
         pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
         pipeline.addLast(new ProtobufDecoder(Frame.getDefaultInstance()));
