Spread the return of refused callers over a part of their time

The time to wait was that until the queue drains, some ten ms, while an overload lasts several seconds, so the repeats of a caller were used up within it.

Requests without a key leave their failure domain only for a gain of 25 ms.

--- a/core/src/main/java/org/siskintiller/core/admission/ConcurrencyLimit.java
+++ b/core/src/main/java/org/siskintiller/core/admission/ConcurrencyLimit.java
@@ -20,7 +20,7 @@
     }
 
     /** Starts again from an announced concurrency, as for another run of the backend server. */
-    public final void announce(int concurrency) {
+    public void announce(int concurrency) {
         if (concurrency < 1) {
             throw new IllegalArgumentException("announced concurrency must be at least 1");
         }
--- a/core/src/test/java/org/siskintiller/core/lease/OwnershipRandomTest.java
+++ b/core/src/test/java/org/siskintiller/core/lease/OwnershipRandomTest.java
@@ -196,8 +196,12 @@
 
             private void injectFaults(long nowNs) {
                 switch (random.nextInt(2_000)) {
-                    case 0 -> cutUntilNs = nowNs + random.nextInt(8_000) * MS;
-                    case 1 -> holder = new KeyHolder(10_000, nowNs);
+                    case 0 -> {
+                        cutUntilNs = nowNs + random.nextInt(8_000) * MS;
+                    }
+                    case 1 -> {
+                        holder = new KeyHolder(10_000, nowNs);
+                    }
                     case 2 -> {
                         backendDownUntilNs = nowNs + random.nextInt(5_000) * MS;
                         backendGrants = List.of();
@@ -205,7 +209,9 @@
                         run++;
                         sequence = 0;
                     }
-                    case 3 -> backendSilentUntilNs = nowNs + random.nextInt(8_000) * MS;
+                    case 3 -> {
+                        backendSilentUntilNs = nowNs + random.nextInt(8_000) * MS;
+                    }
                     case 4 -> holder.release(List.of(new KeyRange(random.nextInt(30_000), 40_000)));
                     default -> {}
                 }
--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -27,6 +27,7 @@
 import org.siskintiller.router.control.ControlDriver;
 import org.siskintiller.router.control.ControlSettings;
 import org.siskintiller.router.control.ControlState;
+import org.siskintiller.router.control.LocalBackend;
 import org.siskintiller.router.control.Member;
 import org.siskintiller.router.control.PeerDirectory;
 import org.siskintiller.router.ingress.CallerHandler;
@@ -94,10 +95,7 @@
                 loop,
                 state,
                 peers,
-                gate,
-                presence,
-                crashes,
-                holder);
+                new LocalBackend(gate, presence, crashes, holder));
         peers.listen(control);
         this.peerServer = new PeerServer(loop, gate, control);
         this.callers = new CallerServer(loop, router, this::callerLimits);
--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -191,7 +191,7 @@
                 finish(call, -1);
                 call.abortConnection();
             }
-            case ENDED -> {
+            default -> {
                 return;
             }
         }
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -108,20 +108,17 @@
             EventLoop loop,
             ControlState state,
             PeerDirectory peers,
-            BackendGate gate,
-            BackendPresence presence,
-            CrashWatch crashes,
-            KeyHolder holder) {
+            LocalBackend backend) {
         this.settings = settings;
         this.self = settings.self().instance();
         this.store = store;
         this.loop = loop;
         this.state = state;
         this.peers = peers;
-        this.gate = gate;
-        this.presence = presence;
-        this.crashes = crashes;
-        this.holder = holder;
+        this.gate = backend.gate();
+        this.presence = backend.presence();
+        this.crashes = backend.crashes();
+        this.holder = backend.keys();
         this.feed = new TopicFeed(store, StoreTopic.CONTROL, loop, () -> authority != null, this);
     }
 
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/control/LocalBackend.java
@@ -0,0 +1,19 @@
+package org.siskintiller.router.control;
+
+import java.util.Objects;
+
+import org.siskintiller.core.lease.KeyHolder;
+import org.siskintiller.core.path.BackendPresence;
+import org.siskintiller.router.backend.BackendGate;
+import org.siskintiller.router.backend.CrashWatch;
+
+/** What a companion keeps of the backend server of its own machine. */
+public record LocalBackend(BackendGate gate, BackendPresence presence, CrashWatch crashes, KeyHolder keys) {
+
+    public LocalBackend {
+        Objects.requireNonNull(gate, "gate");
+        Objects.requireNonNull(presence, "presence");
+        Objects.requireNonNull(crashes, "crashes");
+        Objects.requireNonNull(keys, "keys");
+    }
+}
--- a/router/src/main/java/org/siskintiller/router/control/PeerDirectory.java
+++ b/router/src/main/java/org/siskintiller/router/control/PeerDirectory.java
@@ -22,7 +22,7 @@
 /** Connections to all other companions, and the backend servers behind them. */
 public final class PeerDirectory implements Backends {
     /** Price of the way to another failure domain: bytes between domains cost, and it takes about 2 ms. */
-    private static final long OTHER_DOMAIN_NS = TimeUnit.MILLISECONDS.toNanos(15);
+    private static final long OTHER_DOMAIN_NS = TimeUnit.MILLISECONDS.toNanos(25);
     /** The same for a download, whose response is many times larger. */
     private static final long OTHER_DOMAIN_DOWNLOAD_NS = TimeUnit.MILLISECONDS.toNanos(120);
     /** The same for another machine of the own domain. */
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -128,7 +128,9 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, Frame frame) {
             switch (frame.getKindCase()) {
-                case HELLO -> instance = frame.getHello().getInstance();
+                case HELLO -> {
+                    instance = frame.getHello().getInstance();
+                }
                 case REQUEST -> request(frame.getRequest());
                 case CANCEL -> cancel(frame.getCancel().getStream());
                 case CREDIT -> {
--- a/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
@@ -220,7 +220,8 @@
         if (!internal) {
             budget(service).requested(arrivedNs);
         }
-        return new RequestTask(this, route, forwarded, response, arrivedNs);
+        return new RequestTask(
+                this, route, forwarded, response, arrivedNs, arrivedNs + TimeUnit.MILLISECONDS.toNanos(deadlineMs));
     }
 
     /** Calls of a backend server carry the id of the request that they are made for, a dot and an id of their own. */
--- a/router/src/main/java/org/siskintiller/router/request/RequestTask.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTask.java
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.siskintiller.core.balance.LeastDelay;
 import org.siskintiller.core.path.Route;
+import org.siskintiller.core.retry.RetryAfter;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.ingress.CallerResponse;
@@ -30,14 +31,13 @@
     private static final int PARKED_PART_OF_OBJECTIVE = 8;
     /** Keys that change hands are served again within about a second. */
     private static final long OWNER_CHANGE_MS = 700;
-    /** Random part of Retry-After, so that refused callers do not return together. */
-    private static final double SPREAD = 0.5;
 
     private final RequestRouter router;
     private final Route route;
     private final ForwardedRequest request;
     private final CallerResponse response;
     private final long arrivedNs;
+    private final long callerDeadlineNs;
     private final ScheduledFuture<?> deadlineTimer;
     private final Set<String> excluded = new HashSet<>();
     private final List<byte[]> heldData = new ArrayList<>();
@@ -58,12 +58,19 @@
     private WholeResponse fallback;
     private String lastCause = "";
 
-    RequestTask(RequestRouter router, Route route, ForwardedRequest request, CallerResponse response, long arrivedNs) {
+    RequestTask(
+            RequestRouter router,
+            Route route,
+            ForwardedRequest request,
+            CallerResponse response,
+            long arrivedNs,
+            long callerDeadlineNs) {
         this.router = router;
         this.route = route;
         this.request = request;
         this.response = response;
         this.arrivedNs = arrivedNs;
+        this.callerDeadlineNs = callerDeadlineNs;
         long leftNs = request.deadlineNs() - System.nanoTime();
         this.deadlineTimer = router.loop().schedule(this::deadlinePassed, Math.max(0, leftNs), TimeUnit.NANOSECONDS);
         response.onWritten(this::written);
@@ -158,7 +165,7 @@
                 attempt();
             }
             case PARK -> park(System.nanoTime());
-            case REFUSE -> refuse(refusal.retryAfterMs());
+            default -> refuse(refusal.retryAfterMs());
         }
     }
 
@@ -246,8 +253,8 @@
     }
 
     private void refuse(long retryAfterMs) {
-        double waitMs = Math.max(50, retryAfterMs) * (1 + SPREAD * Math.random());
-        String seconds = String.valueOf(Math.round(waitMs) / 1000.0);
+        double leftMs = (callerDeadlineNs - System.nanoTime()) / 1e6;
+        String seconds = String.valueOf(RetryAfter.waitMs(retryAfterMs, leftMs, Math.random()) / 1000.0);
         if (mayHaveRun) {
             answerError(BAD_GATEWAY, List.of());
             return;
