Close gaps after restarts, clock steps and silent links

Cause, found by reading the code against the failures of the platform: a restarted companion granted a draining backend server the drain time again; a step of the time of day left keys unserved until the next heartbeat; a connection to the store that fell silent hid a configuration for up to 10 s; a companion that fell silent kept getting requests for 2 s; closing a connection with unread pipelined requests reset it and could destroy its last response.

Change: a run that is first seen draining gets no requests; a dropped lease keeps what was granted and is renewed at once; configuration reads wait 3 s at most; new requests avoid a companion that is silent for 0.9 s, and its connection is closed after 1.4 s; the last response of a connection is followed by a half-close. Tests for the first two fail without the change.

--- a/core/src/main/java/org/siskintiller/core/lease/KeyHolder.java
+++ b/core/src/main/java/org/siskintiller/core/lease/KeyHolder.java
@@ -53,10 +53,12 @@
         leaseUntilNs = Math.max(leaseUntilNs, sentNs + leaseMs * 1_000_000);
     }
 
-    /** Gives up the lease at once, for example after a pause of the process whose length is unknown. */
+    /**
+     * Gives up the lease at once, for example after a pause of the process whose length is unknown. What was granted
+     * stays: the backend server ends it by its own clock.
+     */
     public void dropLease(long nowNs) {
         leaseUntilNs = nowNs - 1;
-        grantsUntilNs = nowNs - 1;
     }
 
     /** Asks for the release of ranges. The order takes effect with the next heartbeat. */
--- a/core/src/main/java/org/siskintiller/core/path/BackendPresence.java
+++ b/core/src/main/java/org/siskintiller/core/path/BackendPresence.java
@@ -38,7 +38,8 @@
             leaving = false;
         }
         if (next.draining() && !leaving) {
-            leave(nowNs);
+            // An earlier process may have acknowledged the leave of a run that is first heard of while it drains.
+            leave(newRun ? nowNs - drainNs : nowNs);
         }
         return true;
     }
--- a/core/src/test/java/org/siskintiller/core/lease/KeyHolderTest.java
+++ b/core/src/test/java/org/siskintiller/core/lease/KeyHolderTest.java
@@ -54,6 +54,20 @@
             assertThat(beat(RUN - 1, 100 * MS)).isEqualTo(BeatAnswer.RENEWS_NOTHING);
         }
 
+        /** Guards against keys that stay unserved until the next heartbeat when the time of day is set. */
+        @Test
+        void servesAgainAsSoonAsADroppedLeaseIsRenewed() {
+            holder.assign(List.of(GRANT));
+            holder.renewed(0, 3_500);
+            beat(RUN, 0);
+
+            holder.dropLease(100 * MS);
+            assertThat(holder.serves(1, 100 * MS)).isFalse();
+
+            holder.renewed(110 * MS, 3_500);
+            assertThat(holder.serves(1, 120 * MS)).isTrue();
+        }
+
         /** Guards against requests that are sent after a hold that began with the heartbeat, not with its answer. */
         @Test
         void countsADeferredAnswerFromTheHeartbeat() {
--- a/core/src/test/java/org/siskintiller/core/path/BackendPresenceTest.java
+++ b/core/src/test/java/org/siskintiller/core/path/BackendPresenceTest.java
@@ -27,12 +27,21 @@
         /** Guards against a drain time that starts again with each heartbeat. */
         @Test
         void countsFromTheFirstMessage() {
-            presence.announced(announcement(1, 1, true), 0);
-            presence.announced(announcement(1, 2, true), 900 * MS);
+            presence.announced(announcement(1, 1, false), 0);
+            presence.announced(announcement(1, 2, true), 0);
+            presence.announced(announcement(1, 3, true), 900 * MS);
 
             assertThat(presence.accepts(1_500 * MS)).isFalse();
         }
 
+        /** Guards against a restarted companion that grants the drain time a second time. */
+        @Test
+        void acceptsNothingOfARunThatIsFirstSeenLeaving() {
+            presence.announced(announcement(1, 7, true), 0);
+
+            assertThat(presence.accepts(0)).isFalse();
+        }
+
         /** Guards against a restarted backend server that is taken for the one that left. */
         @Test
         void endsWithANewRun() {
--- a/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
+++ b/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
@@ -12,6 +12,9 @@
 
 /** Puts the operator's newest configuration in force. Versions only rise within a process. */
 public final class ConfigFeed implements TopicFeed.FeedListener {
+    /** A connection to the store that fell silent must be noticed before a configuration is due, within 5 s. */
+    private static final long READ_WAIT_MS = 3_000;
+
     private final ConfigDecoder decoder;
     private final RequestRouter router;
     private final TopicFeed feed;
@@ -21,7 +24,7 @@
     public ConfigFeed(RecordStore store, EventLoop loop, ConfigDecoder decoder, RequestRouter router) {
         this.decoder = decoder;
         this.router = router;
-        this.feed = new TopicFeed(store, StoreTopic.OPERATOR, loop, () -> false, this);
+        this.feed = new TopicFeed(store, StoreTopic.OPERATOR, loop, () -> READ_WAIT_MS, this);
     }
 
     public void start() {
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -49,7 +49,7 @@
 public final class ControlDriver implements PeerEvents, KeyGate, TopicFeed.FeedListener {
     private static final long TICK_MS = 100;
     /** Interval of the status to other companions; changes are told at once. */
-    private static final long STATUS_INTERVAL_NS = 650_000_000L;
+    private static final long STATUS_INTERVAL_NS = 500_000_000L;
     /** Interval in which the request rates of keys are computed. */
     private static final long RATES_INTERVAL_NS = 500_000_000L;
     /** Buckets of keys that a renewal reports. The hot set covers a few; the rest is told as an even spread. */
@@ -60,6 +60,10 @@
     private static final long PAUSE_MS = 400;
     /** An append that was not answered is tried again after this time. */
     private static final long APPEND_RETRY_NS = 700_000_000L;
+    /** Wait of a read without news. The store accepts up to 30 s; calls are priced. */
+    private static final long READ_WAIT_MS = 8_000;
+    /** The age of the authority's last contact is at most twice this. */
+    private static final long AUTHORITY_READ_WAIT_MS = 1_000;
     /** Longest delay of the first answer of a run. A backend server waits 1 s for it. */
     private static final long DEFERRED_ANSWER_MS = 450;
     /** Requests a second that one slot serves while nothing was measured. */
@@ -119,7 +123,7 @@
         this.presence = backend.presence();
         this.crashes = backend.crashes();
         this.holder = backend.keys();
-        this.feed = new TopicFeed(store, StoreTopic.CONTROL, loop, () -> authority != null, this);
+        this.feed = new TopicFeed(store, StoreTopic.CONTROL, loop, this::readWaitMs, this);
     }
 
     public void start(RequestRouter newRouter, ConfigFeed newConfig, Runnable newStatusPublisher) {
@@ -434,7 +438,7 @@
             EventLog.log(LogEvent.PAUSE_DETECTED, "difference_ms", differenceMs);
             holder.dropLease(System.nanoTime());
             renewalsSent.clear();
-            renewedNs = 0;
+            renew(System.nanoTime());
         }
     }
 
@@ -442,6 +446,11 @@
         return System.currentTimeMillis() - System.nanoTime() / 1_000_000;
     }
 
+    /** The age of the last contact matters for the authority; others hear from it when they miss a record. */
+    private long readWaitMs() {
+        return authority != null ? AUTHORITY_READ_WAIT_MS : READ_WAIT_MS;
+    }
+
     private void register() {
         long nowNs = System.nanoTime();
         Member known = state.members().get(self);
--- a/router/src/main/java/org/siskintiller/router/control/PeerDirectory.java
+++ b/router/src/main/java/org/siskintiller/router/control/PeerDirectory.java
@@ -87,12 +87,14 @@
     @Override
     public List<DelayEstimate> candidates(String service, RequestKind kind) {
         List<DelayEstimate> candidates = new ArrayList<>();
-        if (service.equals(ownService) && gate.attracts(System.nanoTime())) {
+        long nowNs = System.nanoTime();
+        if (service.equals(ownService) && gate.attracts(nowNs)) {
             candidates.add(new DelayEstimate(self, gate.load(), 0, failureRate(self), 0));
         }
         for (PeerClient client : clients.values()) {
             PeerStatus status = client.status().orElse(null);
-            if (status == null || !status.serving() || !status.service().equals(service)) {
+            boolean usable = client.responsive(nowNs) && status != null && status.serving();
+            if (!usable || !status.service().equals(service)) {
                 continue;
             }
             candidates.add(new DelayEstimate(
@@ -111,7 +113,7 @@
             return Optional.of(gate);
         }
         PeerClient client = clients.get(instance);
-        return client != null && client.status().isPresent() ? Optional.of(client) : Optional.empty();
+        return client != null && client.responsive(System.nanoTime()) ? Optional.of(client) : Optional.empty();
     }
 
     @Override
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -3,14 +3,15 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -30,6 +31,8 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     /** Requests of one connection that are handled at once. Further ones wait in the socket. */
     private static final int MOST_PIPELINED = 32;
+    /** Time for the caller to read the last response and close: several round trips. */
+    private static final long LINGER_MS = 500;
 
     private final CallerServer server;
     private final Deque<Entry> entries = new ArrayDeque<>();
@@ -128,11 +131,19 @@
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         if (closing && complete) {
-            channel.eventLoop().execute(() -> channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                    .addListener(ChannelFutureListener.CLOSE));
+            channel.eventLoop().execute(this::closeAfterResponse);
         }
     }
 
+    /**
+     * Ends the own side first and reads on for a while: closing with unread requests in the socket would reset the
+     * connection and could destroy the response on its way.
+     */
+    private void closeAfterResponse() {
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> ((SocketChannel) channel).shutdownOutput());
+        channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+    }
+
     void closeWhenIdle() {
         if (idle()) {
             channel.close();
--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -41,8 +41,10 @@
     private static final int CONNECT_TIMEOUT_MS = 700;
     private static final long FIRST_RECONNECT_MS = 100;
     private static final long LONGEST_RECONNECT_MS = 800;
-    /** Three status intervals. */
-    private static final long SILENCE_NS = 2_000_000_000L;
+    /** A connection without any frame for almost three status intervals is closed. */
+    private static final long SILENCE_NS = 1_400_000_000L;
+    /** One that is silent for this long gets no new requests. */
+    private static final long UNRESPONSIVE_NS = 900_000_000L;
 
     private final String self;
     private final String instance;
@@ -80,6 +82,11 @@
         return Optional.ofNullable(status);
     }
 
+    /** Whether the companion is connected and has told its status lately. */
+    public boolean responsive(long nowNs) {
+        return status != null && nowNs - heardNs < UNRESPONSIVE_NS;
+    }
+
     public BackendLoad load() {
         return load;
     }
--- a/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
+++ b/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
@@ -1,7 +1,7 @@
 package org.siskintiller.router.store;
 
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
 import org.siskintiller.node.EventLog;
@@ -13,15 +13,11 @@
     private static final long FIRST_PAUSE_MS = 150;
     /** Longest pause: entries must be back within about 2 s of the store's return. */
     private static final long LONGEST_PAUSE_MS = 800;
-    /** Wait of a read without news. The store accepts up to 30 s; calls are priced. */
-    private static final long WAIT_MS = 8_000;
-    /** Wait where the age of the last contact matters, as for the lease authority. The age is at most twice that. */
-    private static final long SHORT_WAIT_MS = 1_000;
 
     private final RecordStore store;
     private final StoreTopic topic;
     private final EventLoop loop;
-    private final BooleanSupplier shortWaits;
+    private final LongSupplier waitMs;
     private final FeedListener listener;
     private long next;
     private boolean positioned;
@@ -31,12 +27,16 @@
     private long pauseMs = FIRST_PAUSE_MS;
     private boolean closed;
 
-    public TopicFeed(
-            RecordStore store, StoreTopic topic, EventLoop loop, BooleanSupplier shortWaits, FeedListener listener) {
+    /**
+     * Creates a feed.
+     *
+     * @param waitMs time that a read waits for news; a connection that fell silent is noticed after it
+     */
+    public TopicFeed(RecordStore store, StoreTopic topic, EventLoop loop, LongSupplier waitMs, FeedListener listener) {
         this.store = store;
         this.topic = topic;
         this.loop = loop;
-        this.shortWaits = shortWaits;
+        this.waitMs = waitMs;
         this.listener = listener;
         this.contactNs = System.nanoTime() - TimeUnit.HOURS.toNanos(1);
     }
@@ -69,8 +69,7 @@
         }
         long sentNs = System.nanoTime();
         if (positioned) {
-            long waitMs = shortWaits.getAsBoolean() ? SHORT_WAIT_MS : WAIT_MS;
-            store.read(topic, next, waitMs, result -> received(result, sentNs));
+            store.read(topic, next, waitMs.getAsLong(), result -> received(result, sentNs));
         } else {
             store.newest(topic, result -> received(result, sentNs));
         }
