--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -5,27 +5,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
 import org.siskintiller.core.gate.Suspicion;
-import org.siskintiller.core.keyrange.KeyMove;
-import org.siskintiller.core.keyrange.KeyRange;
 import org.siskintiller.core.keyrange.KeyRates;
 import org.siskintiller.core.keyrange.KeyTable;
-import org.siskintiller.core.lease.Authority;
 import org.siskintiller.core.lease.BackendBeat;
 import org.siskintiller.core.lease.BeatAnswer;
-import org.siskintiller.core.lease.Election;
 import org.siskintiller.core.lease.HolderReport;
 import org.siskintiller.core.lease.KeyHolder;
 import org.siskintiller.core.lease.LeaseTiming;
 import org.siskintiller.core.path.BackendPresence;
-import org.siskintiller.core.path.RouteTable;
-import org.siskintiller.core.path.ServiceSpec;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.backend.BackendGate;
@@ -37,14 +29,13 @@
 import org.siskintiller.router.peer.PeerStatus;
 import org.siskintiller.router.request.RequestRouter;
 import org.siskintiller.router.store.RecordStore;
-import org.siskintiller.router.store.StoreResult;
 import org.siskintiller.router.store.StoreTopic;
 import org.siskintiller.router.store.StoredRecord;
 import org.siskintiller.router.store.TopicFeed;
 
 /**
- * Runs the control part of a companion: registers it as a member, takes part in the election of the lease authority,
- * renews the lease of the own backend server, and as authority changes the key tables.
+ * Runs the control part of a companion: registers it as a member, follows the records and the other companions, and
+ * renews the lease of the own backend server.
  */
 public final class ControlDriver implements PeerEvents, KeyGate, TopicFeed.FeedListener {
     private static final long TICK_MS = 100;
@@ -59,7 +50,9 @@
     /** Difference between the monotonic clock and the time of day that tells a pause of the machine. */
     private static final long PAUSE_MS = 400;
     /** An append that was not answered is tried again after this time. */
-    private static final long APPEND_RETRY_NS = 700_000_000L;
+    static final long APPEND_RETRY_NS = 700_000_000L;
+    /** The authority counts as heard for this long: two renewals and the way. */
+    private static final long HEARD_NS = 1_200_000_000L;
     /** Wait of a read without news. The store accepts up to 30 s; calls are priced. */
     private static final long READ_WAIT_MS = 8_000;
     /** The age of the authority's last contact is at most twice this. */
@@ -71,7 +64,8 @@
 
     private final ControlSettings settings;
     private final String self;
-    private final RecordStore store;
+    private final RecordAppender appender;
+    private final AuthorityDriver authority;
     private final EventLoop loop;
     private final ControlState state;
     private final PeerDirectory peers;
@@ -80,14 +74,11 @@
     private final CrashWatch crashes;
     private final KeyHolder holder;
     private final KeyRates ownRates = new KeyRates();
-    private final Election election = new Election();
     private final TopicFeed feed;
-    private final Map<String, Proposal> proposals = new HashMap<>();
     private final Map<Integer, Long> renewalsSent = new HashMap<>();
     private RequestRouter router;
     private ConfigFeed config;
     private Runnable statusPublisher = () -> {};
-    private Authority authority;
     private long followedTerm;
     private long authorityHeardNs = Long.MIN_VALUE / 2;
     private long authorityStoreAgeNs;
@@ -96,10 +87,7 @@
     private long statusNs;
     private long ratesNs;
     private long memberAppendNs = Long.MIN_VALUE / 2;
-    private long claimNs = Long.MIN_VALUE / 2;
     private long clockOffsetMs;
-    private String predecessor = "";
-    private boolean predecessorGone;
     /** Answer to a heartbeat that waits for an assignment of keys. */
     private Consumer<BeatAnswer> deferredAnswer;
 
@@ -115,7 +103,8 @@
             LocalBackend backend) {
         this.settings = settings;
         this.self = settings.self().instance();
-        this.store = store;
+        this.appender = new RecordAppender(store);
+        this.authority = new AuthorityDriver(settings, state, peers, appender);
         this.loop = loop;
         this.state = state;
         this.peers = peers;
@@ -130,6 +119,7 @@
         router = newRouter;
         config = newConfig;
         statusPublisher = newStatusPublisher;
+        authority.start(feed, config);
         clockOffsetMs = clockOffset();
         crashes.onSuspicion(this::share);
         gate.onStateChange(this::publishStatus);
@@ -140,7 +130,7 @@
     /** Gives up the authority and lets other companions send nothing more here. */
     public void stop() {
         stopping = true;
-        resign("the process stops");
+        authority.stop(System.nanoTime());
         publishStatus();
     }
 
@@ -166,7 +156,9 @@
             EventLog.log(LogEvent.KEYS_RELEASED, "ranges", String.valueOf(holder.released()));
             renew(nowNs);
         }
-        if (firstOfRun && granted.grants().isEmpty() && isKeyed(settings.self().service())) {
+        if (firstOfRun
+                && granted.grants().isEmpty()
+                && authority.isKeyed(settings.self().service())) {
             if (deferredAnswer != null) {
                 deferredAnswer.accept(BeatAnswer.RENEWS_NOTHING);
             }
@@ -231,15 +223,7 @@
 
     @Override
     public void progressed() {
-        // An append on condition of an earlier end can no longer take effect.
-        proposals.values().removeIf(proposal -> {
-            boolean settled = feed.position() > proposal.at;
-            if (settled && authority != null) {
-                authority.proposalSettled(proposal.service);
-            }
-            return settled;
-        });
-        planAll(System.nanoTime());
+        authority.progressed(System.nanoTime());
     }
 
     private void tableChanged(String service, long offset) {
@@ -279,18 +263,7 @@
                 claim.resigned(),
                 "offset",
                 offset);
-        boolean own = claim.instance().equals(self)
-                && claim.incarnation().equals(settings.incarnation())
-                && !claim.resigned();
-        if (authority != null && (!own || authority.term() != claim.term())) {
-            dropAuthority("a record names another authority");
-        }
-        if (own && authority == null && !stopping) {
-            authority = new Authority(claim.term(), predecessorGone, nowNs);
-            for (PeerClient peer : peers.clients()) {
-                peer.askResignation(claim.term());
-            }
-        }
+        authority.claimRead(claim, nowNs);
         authorityHeardNs = nowNs;
         authorityStoreAgeNs = 0;
         renew(nowNs);
@@ -315,10 +288,7 @@
 
     @Override
     public Optional<LeaseReply> renewed(HolderReport report, long term, int sequence) {
-        if (authority == null || term != authority.term()) {
-            return Optional.empty();
-        }
-        return Optional.of(answerRenewal(report, sequence, System.nanoTime()));
+        return authority.renewed(report, term, sequence);
     }
 
     @Override
@@ -376,17 +346,12 @@
 
     @Override
     public boolean resignationAsked(long term) {
-        if (authority != null && authority.term() < term) {
-            dropAuthority("another instance has term " + term);
-        }
-        return authority == null || authority.term() < term;
+        return authority.resignationAsked(term);
     }
 
     @Override
     public void resignationAcknowledged(String instance, long term) {
-        if (authority != null && authority.term() == term && instance.equals(predecessor)) {
-            authority.predecessorResigned(System.nanoTime());
-        }
+        authority.resignationAcknowledged(instance, term);
     }
 
     private void share(List<Suspicion> suspicions) {
@@ -421,9 +386,9 @@
                 publishStatus();
             }
             register();
-            confirmResignation(nowNs);
-            stand(nowNs);
-            planAll(nowNs);
+            if (caughtUp) {
+                authority.tick(authorityHeardNs, authorityStoreAgeNs, nowNs);
+            }
         } catch (RuntimeException e) {
             EventLog.log(LogEvent.UNEXPECTED_ERROR, "control tick", e);
         }
@@ -448,7 +413,7 @@
 
     /** The age of the last contact matters for the authority; others hear from it when they miss a record. */
     private long readWaitMs() {
-        return authority != null ? AUTHORITY_READ_WAIT_MS : READ_WAIT_MS;
+        return authority.active() ? AUTHORITY_READ_WAIT_MS : READ_WAIT_MS;
     }
 
     private void register() {
@@ -458,7 +423,7 @@
             return;
         }
         memberAppendNs = nowNs;
-        append(ControlRecords.memberKey(self), ControlRecords.encode(settings.self()), RecordStore.ANY_END);
+        appender.append(ControlRecords.memberKey(self), ControlRecords.encode(settings.self()), RecordStore.ANY_END);
     }
 
     private void renew(long nowNs) {
@@ -471,8 +436,8 @@
         renewalsSent.values().removeIf(sentNs -> nowNs - sentNs > LeaseTiming.LEASE_NS);
         renewalsSent.put(renewalSequence, nowNs);
         HolderReport report = report(nowNs);
-        if (authority != null) {
-            leaseReplied(self, answerRenewal(report, renewalSequence, nowNs));
+        if (authority.active()) {
+            leaseReplied(self, authority.answer(report, renewalSequence, nowNs));
             return;
         }
         int sequence = renewalSequence;
@@ -485,7 +450,7 @@
                 * (gate.load().meanServiceUs() == 0
                         ? UNKNOWN_RATE_OF_SLOT
                         : 1e6 / gate.load().meanServiceUs());
-        boolean keyed = isKeyed(service);
+        boolean keyed = authority.isKeyed(service);
         return new HolderReport(
                 self,
                 service,
@@ -512,237 +477,7 @@
         return busiest;
     }
 
-    // ---- Authority ----
-
-    private void stand(long nowNs) {
-        if (authority != null || !caughtUp || nowNs - claimNs < APPEND_RETRY_NS) {
-            return;
-        }
-        AuthorityClaim claim = state.authority();
-        boolean ownEarlierRun =
-                claim.instance().equals(self) && !claim.incarnation().equals(settings.incarnation());
-        Election.View view = new Election.View(
-                claim.term() > 0,
-                claim.resigned(),
-                ownEarlierRun,
-                authorityHeardNs,
-                authorityStoreAgeNs,
-                mostPeersHearAuthority(),
-                feed.reachable(),
-                stopping);
-        if (!election.stands(view, rank(), nowNs)) {
-            return;
-        }
-        claimNs = nowNs;
-        predecessor = claim.instance();
-        predecessorGone = claim.resigned() || ownEarlierRun || claim.term() == 0;
-        AuthorityClaim next = new AuthorityClaim(self, settings.incarnation(), claim.term() + 1, false);
-        EventLog.log(
-                LogEvent.AUTHORITY_CLAIMED,
-                "term",
-                next.term(),
-                "predecessor",
-                predecessor,
-                "heard_ms_ago",
-                (nowNs - authorityHeardNs) / 1_000_000,
-                "store_age_ms",
-                authorityStoreAgeNs / 1_000_000);
-        append(ControlRecords.AUTHORITY_KEY, ControlRecords.encode(next), feed.position());
-    }
-
-    /**
-     * Instances of services without keys come first: the keys beside an authority that is lost together with its
-     * machine are served again only when its leases are surely over.
-     */
-    private int rank() {
-        Set<String> order = new TreeSet<>();
-        for (Member member : state.members().values()) {
-            boolean connected = member.instance().equals(self)
-                    || peers.client(member.instance())
-                            .flatMap(PeerClient::status)
-                            .isPresent();
-            if (connected) {
-                order.add((isKeyed(member.service()) ? "1/" : "0/") + member.instance());
-            }
-        }
-        String own = (isKeyed(settings.self().service()) ? "1/" : "0/") + self;
-        return ((TreeSet<String>) order).headSet(own).size();
-    }
-
-    private boolean isKeyed(String service) {
-        RouteTable routes = config.routes();
-        if (routes == null) {
-            return state.table(service).isPresent();
-        }
-        return routes.service(service).map(ServiceSpec::keyed).orElse(false);
-    }
-
-    private boolean mostPeersHearAuthority() {
-        int hearing = 0;
-        int known = 0;
-        for (PeerClient peer : peers.clients()) {
-            if (peer.status().isPresent()
-                    && !peer.instance().equals(state.authority().instance())) {
-                known++;
-                hearing += peer.status().get().hearsAuthority() ? 1 : 0;
-            }
-        }
-        return hearing * 2 > known;
-    }
-
     private boolean hearsAuthority(long nowNs) {
-        return authority != null || nowNs - authorityHeardNs < 1_200_000_000L;
-    }
-
-    private LeaseReply answerRenewal(HolderReport report, int sequence, long nowNs) {
-        String service = report.service();
-        KeyTable committed = state.table(service).orElse(KeyTable.empty(service));
-        boolean mayRenew = Authority.mayRenew(feed.contactNs(), nowNs);
-        Optional<List<KeyRange>> renewal =
-                mayRenew ? authority.renew(report, committed, nowNs) : Optional.<List<KeyRange>>empty();
-        List<StoredRecord> missing = new ArrayList<>();
-        if (report.lastFence() < committed.lastFence()) {
-            state.record(ControlRecords.keysKey(service)).ifPresent(missing::add);
-        }
-        if (renewal.isEmpty()) {
-            EventLog.log(
-                    LogEvent.RENEWAL_DENIED,
-                    "holder",
-                    report.instance(),
-                    "fence_known",
-                    report.lastFence(),
-                    "fence_committed",
-                    committed.lastFence(),
-                    "store_age_ms",
-                    (nowNs - feed.contactNs()) / 1_000_000);
-            return new LeaseReply(authority.term(), sequence, 0, List.of(), missing);
-        }
-        planService(service, nowNs);
-        return new LeaseReply(authority.term(), sequence, LeaseTiming.LEASE_NS / 1_000_000, renewal.get(), missing);
-    }
-
-    private void planAll(long nowNs) {
-        RouteTable routes = config.routes();
-        if (authority == null || routes == null) {
-            return;
-        }
-        for (ServiceSpec service : routes.services().values()) {
-            if (service.keyed()) {
-                planService(service.name(), nowNs);
-            }
-        }
-    }
-
-    private void planService(String service, long nowNs) {
-        Proposal open = proposals.get(service);
-        if (open != null) {
-            if (nowNs - open.sentNs > APPEND_RETRY_NS) {
-                propose(open);
-            }
-            return;
-        }
-        if (!feed.reachable() || !isKeyed(service)) {
-            return;
-        }
-        Optional<KeyMove> moveBefore = authority.move(service);
-        KeyTable table = state.table(service).orElse(KeyTable.empty(service));
-        Optional<KeyTable> next = authority.plan(table, instancesOf(service), nowNs);
-        authority.move(service).filter(move -> moveBefore.isEmpty()).ifPresent(this::logMove);
-        next.ifPresent(proposed -> {
-            EventLog.log(
-                    LogEvent.KEYS_PROPOSED,
-                    "service",
-                    service,
-                    "term",
-                    proposed.term(),
-                    "last_fence",
-                    proposed.lastFence(),
-                    "rows",
-                    proposed.grants().size(),
-                    "at",
-                    feed.position());
-            Proposal proposal = new Proposal(service, ControlRecords.encode(proposed), feed.position());
-            proposals.put(service, proposal);
-            propose(proposal);
-        });
-    }
-
-    private int instancesOf(String service) {
-        int instances = 0;
-        for (Member member : state.members().values()) {
-            instances += member.service().equals(service) ? 1 : 0;
-        }
-        return instances;
-    }
-
-    private void logMove(KeyMove move) {
-        EventLog.log(
-                LogEvent.KEYS_MOVING,
-                "range",
-                move.range(),
-                "from",
-                move.from().instance(),
-                "to",
-                move.to().instance());
-    }
-
-    /** Appends again under the same condition, so that at most one of the tries takes effect. */
-    private void propose(Proposal proposal) {
-        proposal.sentNs = System.nanoTime();
-        append(ControlRecords.keysKey(proposal.service), proposal.value, proposal.at);
-    }
-
-    private void append(String key, byte[] value, long at) {
-        store.append(StoreTopic.CONTROL, at, key, value, result -> appended(key, at, result));
-    }
-
-    private void appended(String key, long at, StoreResult<Long> result) {
-        if (result instanceof StoreResult.Conflict<Long> conflict) {
-            EventLog.log(LogEvent.STORE_APPEND_CONFLICT, "key", key, "at", at, "end", conflict.end());
-            return;
-        }
-        if (result instanceof StoreResult.Done<Long>) {
-            return;
-        }
-        EventLog.log(LogEvent.LOG_APPEND_UNCERTAIN, "key", key, "at", at, "result", result.toString());
-    }
-
-    /** Repeats the resignation of a stopping process until it is read back. */
-    private void confirmResignation(long nowNs) {
-        AuthorityClaim claim = state.authority();
-        boolean own = claim.instance().equals(self) && claim.incarnation().equals(settings.incarnation());
-        if (!stopping || !own || claim.resigned() || nowNs - claimNs < APPEND_RETRY_NS) {
-            return;
-        }
-        claimNs = nowNs;
-        AuthorityClaim resigned = new AuthorityClaim(self, claim.incarnation(), claim.term(), true);
-        append(ControlRecords.AUTHORITY_KEY, ControlRecords.encode(resigned), feed.position());
-    }
-
-    private void resign(String cause) {
-        if (authority == null) {
-            return;
-        }
-        dropAuthority(cause);
-        confirmResignation(System.nanoTime());
-    }
-
-    private void dropAuthority(String cause) {
-        EventLog.log(LogEvent.AUTHORITY_RESIGNED, "term", authority.term(), "cause", cause);
-        authority = null;
-        proposals.clear();
-    }
-
-    private static final class Proposal {
-        private final String service;
-        private final byte[] value;
-        private final long at;
-        private long sentNs;
-
-        private Proposal(String service, byte[] value, long at) {
-            this.service = service;
-            this.value = value;
-            this.at = at;
-        }
+        return authority.active() || nowNs - authorityHeardNs < HEARD_NS;
     }
 }
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/control/RecordAppender.java
@@ -0,0 +1,31 @@
+package org.siskintiller.router.control;
+
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.store.RecordStore;
+import org.siskintiller.router.store.StoreResult;
+import org.siskintiller.router.store.StoreTopic;
+
+/** Appends to the control topic. Results only go to the log: a record takes effect when it is read back. */
+final class RecordAppender {
+    private final RecordStore store;
+
+    RecordAppender(RecordStore store) {
+        this.store = store;
+    }
+
+    void append(String key, byte[] value, long at) {
+        store.append(StoreTopic.CONTROL, at, key, value, result -> appended(key, at, result));
+    }
+
+    private void appended(String key, long at, StoreResult<Long> result) {
+        if (result instanceof StoreResult.Conflict<Long> conflict) {
+            EventLog.log(LogEvent.STORE_APPEND_CONFLICT, "key", key, "at", at, "end", conflict.end());
+            return;
+        }
+        if (result instanceof StoreResult.Done<Long>) {
+            return;
+        }
+        EventLog.log(LogEvent.LOG_APPEND_UNCERTAIN, "key", key, "at", at, "result", result.toString());
+    }
+}
