Bind sockets and log final responses in one place

Cause: a read of the whole change found the bind code of the caller and the companion server, and the log fields of a final response, written twice; four members that nothing uses; a second condition in resignationAsked that can never hold after the first; a Retry-After that was computed and thrown away.

Change: ServerSockets binds both servers, RequestTask has one log method, the unused members and the dead condition are gone. No decision changes.

Measured: PlatformClusterTest, RoutesTest and LogEventTest pass; formatter and linter pass on all modules.

--- a/core/src/main/java/org/siskintiller/core/path/WeightedSplit.java
+++ b/core/src/main/java/org/siskintiller/core/path/WeightedSplit.java
@@ -31,9 +31,4 @@
         credit.merge(best, -total, Integer::sum);
         return best;
     }
-
-    /** Forgets routes that are no longer configured. */
-    public void retain(java.util.Set<String> routes) {
-        credits.keySet().retainAll(routes);
-    }
 }
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/ServerSockets.java
@@ -0,0 +1,43 @@
+package org.siskintiller.router;
+
+import java.io.IOException;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import org.siskintiller.core.model.Address;
+
+/** Binds the listening sockets of a companion. */
+public final class ServerSockets {
+    /** Connections that wait to be accepted. An opening packet beyond it is sent again only after seconds. */
+    private static final int BACKLOG = 512;
+
+    private ServerSockets() {}
+
+    /** Listens on the address and sets up each accepted connection. Not called on the event loop. */
+    public static Channel bind(EventLoop loop, Address address, ChannelHandler initializer) throws IOException {
+        try {
+            return new ServerBootstrap()
+                    .group(loop)
+                    .channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .option(ChannelOption.SO_REUSEADDR, true)
+                    .childOption(ChannelOption.TCP_NODELAY, true)
+                    .childHandler(initializer)
+                    .bind(address.host(), address.port())
+                    .sync()
+                    .channel();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while binding " + address, e);
+        } catch (RuntimeException e) {
+            throw e;
+        } catch (Exception e) {
+            // Netty throws the checked cause of a failed bind without declaring it.
+            throw new IOException("cannot bind " + address + ": " + e.getMessage(), e);
+        }
+    }
+}
--- a/router/src/main/java/org/siskintiller/router/control/AuthorityDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/AuthorityDriver.java
@@ -121,7 +121,7 @@
         if (authority != null && authority.term() < term) {
             dropAuthority("another instance has term " + term);
         }
-        return authority == null || authority.term() < term;
+        return authority == null;
     }
 
     void resignationAcknowledged(String instance, long term) {
--- a/router/src/main/java/org/siskintiller/router/control/ControlState.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlState.java
@@ -51,10 +51,6 @@
         return Optional.ofNullable(tables.get(service));
     }
 
-    public List<String> keyedServices() {
-        return new ArrayList<>(tables.keySet());
-    }
-
     /** Returns the newest record of a key, to pass it on. */
     public Optional<StoredRecord> record(String key) {
         return Optional.ofNullable(newest.get(key));
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -118,7 +118,7 @@
         }
     }
 
-    void abort(CallerResponse response) {
+    void abort() {
         closing = true;
         channel.close();
     }
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerResponse.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerResponse.java
@@ -27,7 +27,7 @@
     private IntConsumer written = bytes -> {};
     private boolean first;
     private boolean complete;
-    private boolean headRequest;
+    private final boolean headRequest;
 
     CallerResponse(CallerConnection connection, boolean headRequest) {
         this.connection = connection;
@@ -75,7 +75,7 @@
     /** Ends a response that cannot be completed, so that the caller sees that it is not whole. */
     public void abort() {
         complete = true;
-        connection.abort(this);
+        connection.abort();
     }
 
     boolean complete() {
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
@@ -1,32 +1,30 @@
 package org.siskintiller.router.ingress;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.timeout.IdleStateHandler;
 import org.siskintiller.core.model.Address;
 import org.siskintiller.core.path.CallerLimits;
+import org.siskintiller.router.ServerSockets;
 
 /** HTTP server for callers, or for local pages and heartbeats. */
 public final class CallerServer {
     /** Bodies are held whole so that a request can be sent again, and are limited to this size. */
     private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
-    private static final int BACKLOG = 512;
     /** Parts of responses that are written together at most; each flush is a system call. */
     private static final int FLUSHES = 64;
 
@@ -50,41 +48,21 @@
         HttpDecoderConfig decoder = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
                 .setMaxHeaderSize(MAX_HEADER_BYTES);
-        try {
-            server = new ServerBootstrap()
-                    .group(loop)
-                    .channel(NioServerSocketChannel.class)
-                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                    .option(ChannelOption.SO_REUSEADDR, true)
-                    .childOption(ChannelOption.TCP_NODELAY, true)
-                    .childHandler(new ChannelInitializer<SocketChannel>() {
-                        @Override
-                        protected void initChannel(SocketChannel channel) {
-                            channel.pipeline()
-                                    .addLast(new FlushConsolidationHandler(FLUSHES, true))
-                                    .addLast(new HttpServerCodec(decoder))
-                                    .addLast(new IdleStateHandler(
-                                            limits.get().idleTimeoutMs(), 0, 0, TimeUnit.MILLISECONDS))
-                                    .addLast(new CallerConnection(CallerServer.this));
-                        }
-                    })
-                    .bind(address.host(), address.port())
-                    .sync()
-                    .channel();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted while binding " + address, e);
-        } catch (RuntimeException e) {
-            throw e;
-        } catch (Exception e) {
-            // Netty throws the checked cause of a failed bind without declaring it.
-            throw new IOException("cannot bind " + address + ": " + e.getMessage(), e);
-        }
+        server = ServerSockets.bind(loop, address, new ChannelInitializer<SocketChannel>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline()
+                        .addLast(new FlushConsolidationHandler(FLUSHES, true))
+                        .addLast(new HttpServerCodec(decoder))
+                        .addLast(new IdleStateHandler(limits.get().idleTimeoutMs(), 0, 0, TimeUnit.MILLISECONDS))
+                        .addLast(new CallerConnection(CallerServer.this));
+            }
+        });
     }
 
     /** Returns the bound port. */
     public int port() {
-        return ((java.net.InetSocketAddress) server.localAddress()).getPort();
+        return ((InetSocketAddress) server.localAddress()).getPort();
     }
 
     /** Announces the end of each connection with its next response. */
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -6,19 +6,17 @@
 import java.util.Map;
 import java.util.Set;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import org.siskintiller.core.balance.BackendLoad;
 import org.siskintiller.core.model.Address;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.ServerSockets;
 import org.siskintiller.router.backend.BackendGate;
 import org.siskintiller.router.request.Refusal;
 import org.siskintiller.router.request.ResponseHead;
@@ -30,8 +28,6 @@
 
 /** Accepts the connections of other companions and passes their requests to the gate of this machine. */
 public final class PeerServer {
-    private static final int BACKLOG = 256;
-
     private final EventLoop loop;
     private final BackendGate gate;
     private final PeerEvents events;
@@ -45,31 +41,12 @@
     }
 
     public void bind(Address address) throws IOException {
-        try {
-            server = new ServerBootstrap()
-                    .group(loop)
-                    .channel(NioServerSocketChannel.class)
-                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                    .option(ChannelOption.SO_REUSEADDR, true)
-                    .childOption(ChannelOption.TCP_NODELAY, true)
-                    .childHandler(new ChannelInitializer<SocketChannel>() {
-                        @Override
-                        protected void initChannel(SocketChannel channel) {
-                            PeerPipeline.add(channel.pipeline(), new Connection());
-                        }
-                    })
-                    .bind(address.host(), address.port())
-                    .sync()
-                    .channel();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted while binding " + address, e);
-        } catch (RuntimeException e) {
-            throw e;
-        } catch (Exception e) {
-            // Netty throws the checked cause of a failed bind without declaring it.
-            throw new IOException("cannot bind " + address + ": " + e.getMessage(), e);
-        }
+        server = ServerSockets.bind(loop, address, new ChannelInitializer<SocketChannel>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                PeerPipeline.add(channel.pipeline(), new Connection());
+            }
+        });
     }
 
     /** Tells the own status to all connected companions. */
--- a/router/src/main/java/org/siskintiller/router/request/HeaderNames.java
+++ b/router/src/main/java/org/siskintiller/router/request/HeaderNames.java
@@ -10,7 +10,6 @@
  * @param key key of a request to a keyed service
  * @param notExecuted states that a backend server rejected the request without running it
  * @param load running, waiting and slots of a backend server
- * @param instance id of the backend server that answered
  */
 public record HeaderNames(
         String requestId,
@@ -19,5 +18,4 @@
         String callerService,
         String key,
         String notExecuted,
-        String load,
-        String instance) {}
+        String load) {}
--- a/router/src/main/java/org/siskintiller/router/request/RequestTask.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTask.java
@@ -235,7 +235,7 @@
             left--;
             response.data(data, left == 0);
         }
-        logCompleted(whole.head.status(), whole.instance);
+        log(LogEvent.REQUEST_COMPLETED, whole.head.status(), whole.instance);
         end(whole.head.status() < FIRST_SERVER_ERROR);
     }
 
@@ -253,49 +253,25 @@
     }
 
     private void refuse(long retryAfterMs) {
-        double leftMs = (callerDeadlineNs - System.nanoTime()) / 1e6;
-        String seconds = String.valueOf(RetryAfter.waitMs(retryAfterMs, leftMs, Math.random()) / 1000.0);
         if (mayHaveRun) {
             answerError(BAD_GATEWAY, List.of());
             return;
         }
+        double leftMs = (callerDeadlineNs - System.nanoTime()) / 1e6;
+        String seconds = String.valueOf(RetryAfter.waitMs(retryAfterMs, leftMs, Math.random()) / 1000.0);
         answerError(UNAVAILABLE, List.of(new Header("Retry-After", seconds)));
     }
 
     private void answerError(int status, List<Header> headers) {
-        EventLog.log(
-                LogEvent.REQUEST_FAILED,
-                "request",
-                request.requestId(),
-                "status",
-                status,
-                "route",
-                route.name(),
-                "service",
-                request.service(),
-                "key",
-                request.key(),
-                "cause",
-                lastCause,
-                "companions",
-                companionsAsked,
-                "arrivals",
-                arrivals,
-                "ms",
-                elapsedMs(),
-                "parked_ms",
-                parkedNs / 1_000_000,
-                "internal",
-                request.internal(),
-                "config",
-                router.routesVersion());
+        log(LogEvent.REQUEST_FAILED, status, instance);
         response.send(status, headers, new byte[0]);
         end(false);
     }
 
-    private void logCompleted(int status, String from) {
+    /** Writes the line of the final response, with what decided it. */
+    private void log(LogEvent event, int status, String from) {
         EventLog.log(
-                LogEvent.REQUEST_COMPLETED,
+                event,
                 "request",
                 request.requestId(),
                 "status",
@@ -308,6 +284,8 @@
                 from,
                 "key",
                 request.key(),
+                "cause",
+                lastCause,
                 "companions",
                 companionsAsked,
                 "arrivals",
@@ -393,7 +371,7 @@
                 if (last) {
                     close(head.status() >= FIRST_SERVER_ERROR);
                     arrivals++;
-                    logCompleted(head.status(), target);
+                    log(LogEvent.REQUEST_COMPLETED, head.status(), target);
                     end(true);
                 }
                 return;
--- a/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
+++ b/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
@@ -25,7 +25,6 @@
     private boolean everReached;
     private long contactNs;
     private long pauseMs = FIRST_PAUSE_MS;
-    private boolean closed;
 
     /**
      * Creates a feed.
@@ -45,10 +44,6 @@
         call();
     }
 
-    public void close() {
-        closed = true;
-    }
-
     /** Offset up to which all records have been read, or -1 before the first read. */
     public long position() {
         return positioned ? next : -1;
@@ -64,9 +59,6 @@
     }
 
     private void call() {
-        if (closed) {
-            return;
-        }
         long sentNs = System.nanoTime();
         if (positioned) {
             store.read(topic, next, waitMs.getAsLong(), result -> received(result, sentNs));
