Mend what a read of the whole change found

The bind and connect code, the hop-by-hop names, the service time mean and the key gate stood twice.

Change: each of these in one place (Sockets, HeaderRules, MovingMean, HeldKeys); the gate is split (GrantWaiters, QueuePlace); a request that is on its way cannot be queued again; unused frame fields are gone. The time to send headers is not enforced and stands among the open points of platform.md.

--- a/core/src/main/java/org/siskintiller/core/path/WeightedSplit.java
+++ b/core/src/main/java/org/siskintiller/core/path/WeightedSplit.java
@@ -20,11 +20,11 @@
         credit.keySet().removeIf(service -> services.stream()
                 .noneMatch(each -> each.service().equals(service)));
         int total = 0;
-        String best = services.get(0).service();
+        String best = null;
         for (Route.WeightedService each : services) {
             total += each.weight();
             int value = credit.merge(each.service(), each.weight(), Integer::sum);
-            if (value > credit.getOrDefault(best, 0) || credit.get(best) == null) {
+            if (best == null || value > credit.get(best)) {
                 best = each.service();
             }
         }
--- a/node/src/main/java/org/siskintiller/node/LogEvent.java
+++ b/node/src/main/java/org/siskintiller/node/LogEvent.java
@@ -20,6 +20,7 @@
             "raise stop_timeout_ms above the longest request"),
     UNEXPECTED_ERROR(1006, Level.ERROR, "unexpected error", "report the stack trace; the companion goes on"),
     SETTINGS_RELOADED(1008, Level.INFO, "settings read again", "none"),
+    SETTINGS_IGNORED(1009, Level.DEBUG, "setting without meaning here ignored", "none"),
     LISTENING(1007, Level.INFO, "listening", "none"),
 
     REQUEST_REJECTED(1101, Level.DEBUG, "malformed request rejected", "correct the caller"),
--- a/node/src/main/java/org/siskintiller/node/http/HeaderRules.java
+++ b/node/src/main/java/org/siskintiller/node/http/HeaderRules.java
@@ -4,7 +4,7 @@
 import java.util.Set;
 
 /** Rules for header fields that protect against request smuggling (RFC 9110, RFC 9112). */
-final class HeaderRules {
+public final class HeaderRules {
     /** Headers of one connection. Forwarding them would change how the next hop frames messages. */
     private static final Set<String> HOP_BY_HOP = Set.of(
             "connection",
@@ -38,6 +38,11 @@
 
     private HeaderRules() {}
 
+    /** Whether the header, named in lower case, concerns one connection only (RFC 9110, section 7.6.1). */
+    public static boolean isHopByHop(String lowerName) {
+        return HOP_BY_HOP.contains(lowerName);
+    }
+
     static boolean isRefusedHopByHop(String lowerName) {
         return HOP_BY_HOP.contains(lowerName) && !TOLERATED.contains(lowerName);
     }
--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -9,6 +9,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
+import org.siskintiller.core.keyrange.KeyRates;
 import org.siskintiller.core.lease.KeyHolder;
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.path.BackendPresence;
@@ -21,7 +22,7 @@
 import org.siskintiller.router.backend.CrashWatch;
 import org.siskintiller.router.backend.HeartbeatCodec;
 import org.siskintiller.router.backend.HeartbeatHandler;
-import org.siskintiller.router.backend.KeyGate;
+import org.siskintiller.router.backend.HeldKeys;
 import org.siskintiller.router.control.ConfigDecoder;
 import org.siskintiller.router.control.ConfigFeed;
 import org.siskintiller.router.control.ControlDriver;
@@ -50,7 +51,7 @@
     private static final long KILL_MARGIN_MS = 500;
 
     private static final long STOP_CHECK_MS = 50;
-    private static final CallerLimits LOCAL_LIMITS = new CallerLimits(16_384, 1 << 20, 3_000, 60_000);
+    private static final CallerLimits LOCAL_LIMITS = new CallerLimits(16_384, 1 << 20, 60_000);
 
     private final CompanionSettings settings;
     private final EventLoop loop;
@@ -79,12 +80,12 @@
         long nowNs = System.nanoTime();
         Member self =
                 new Member(settings.instance(), settings.companions(), settings.failureDomain(), settings.service());
-        KeyHolder holder = new KeyHolder(settings.holdMaxMs(), nowNs);
+        HeldKeys keys = new HeldKeys(new KeyHolder(settings.holdMaxMs(), nowNs), new KeyRates());
         BackendPresence presence = new BackendPresence(settings.drainMs());
         CrashWatch crashes = new CrashWatch();
         ControlState state = new ControlState();
         BackendPool pool = new BackendPool(settings.backend(), loop, names, metrics);
-        this.gate = new BackendGate(loop, pool, presence, new HeldKeys(), crashes, metrics);
+        this.gate = new BackendGate(loop, pool, presence, keys, crashes, metrics);
         PeerDirectory peers =
                 new PeerDirectory(settings.instance(), settings.failureDomain(), settings.service(), loop, state, gate);
         this.router = new RequestRouter(loop, names, settings.router(), peers, gate::runs, metrics);
@@ -95,7 +96,7 @@
                 loop,
                 state,
                 peers,
-                new LocalBackend(gate, presence, crashes, holder));
+                new LocalBackend(gate, presence, crashes, keys));
         peers.listen(control);
         this.peerServer = new PeerServer(loop, gate, control);
         this.callers = new CallerServer(loop, router, this::callerLimits);
@@ -197,22 +198,4 @@
         response.send(OK, List.of(new Header("Content-Type", "text/plain; version=0.0.4")), page);
         return () -> {};
     }
-
-    /** The gate asks the control part, which is built after it. */
-    private final class HeldKeys implements KeyGate {
-        @Override
-        public boolean serves(int key, long nowNs) {
-            return control.serves(key, nowNs);
-        }
-
-        @Override
-        public boolean isAssigned(int key) {
-            return control.isAssigned(key);
-        }
-
-        @Override
-        public void counted(int key) {
-            control.counted(key);
-        }
-    }
 }
--- a/router/src/main/java/org/siskintiller/router/ServerSockets.java
+++ b/router/src/main/java/org/siskintiller/router/Sockets.java
@@ -2,20 +2,23 @@
 
 import java.io.IOException;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import org.siskintiller.core.model.Address;
 
-/** Binds the listening sockets of a companion. */
-public final class ServerSockets {
+/** Options that all listening and connecting sockets of a companion share. */
+public final class Sockets {
     /** Connections that wait to be accepted. An opening packet beyond it is sent again only after seconds. */
     private static final int BACKLOG = 512;
 
-    private ServerSockets() {}
+    private Sockets() {}
 
     /** Listens on the address and sets up each accepted connection. Not called on the event loop. */
     public static Channel bind(EventLoop loop, Address address, ChannelHandler initializer) throws IOException {
@@ -40,4 +43,16 @@
             throw new IOException("cannot bind " + address + ": " + e.getMessage(), e);
         }
     }
+
+    /** Connects to the address and sets up the connection. */
+    public static ChannelFuture connect(
+            EventLoop loop, Address address, int connectTimeoutMs, ChannelHandler initializer) {
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+                .handler(initializer)
+                .connect(address.host(), address.port());
+    }
 }
--- a/router/src/main/java/org/siskintiller/router/backend/BackendConnection.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendConnection.java
@@ -257,15 +257,12 @@
             return;
         }
         String[] parts = value.split(",");
-        if (parts.length != 3) {
-            return;
-        }
         try {
             exchange.loadReported(
                     Integer.parseInt(parts[0].trim()),
                     Integer.parseInt(parts[1].trim()),
                     Integer.parseInt(parts[2].trim()));
-        } catch (NumberFormatException e) {
+        } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
             EventLog.log(LogEvent.BACKEND_LOAD_FAILED, "value", value, "cause", e.getMessage());
         }
     }
--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -1,6 +1,5 @@
 package org.siskintiller.router.backend;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -15,6 +14,7 @@
 import org.siskintiller.core.admission.Admission;
 import org.siskintiller.core.admission.AdmissionResult;
 import org.siskintiller.core.admission.ConcurrencyLimit;
+import org.siskintiller.core.admission.MovingMean;
 import org.siskintiller.core.balance.BackendLoad;
 import org.siskintiller.core.path.BackendPresence;
 import org.siskintiller.core.path.BackendPresence.Announcement;
@@ -36,8 +36,6 @@
 public final class BackendGate implements Destination {
     /** Interval in which queued requests are checked for their deadline. */
     private static final long SWEEP_MS = 20;
-    /** A key that is assigned is granted with the next heartbeat, which comes at least every second. */
-    private static final long GRANT_WAIT_NS = 1_200_000_000L;
     /** A backend server that refused a connection is not tried again for this time. */
     private static final long UNREACHABLE_NS = 250_000_000L;
     /** The backend server answers itself at the deadline; its answer may take this long to arrive. */
@@ -47,24 +45,24 @@
     /** A request is not started with less than this part of its usual service time left. */
     private static final double LEAST_SERVICE_PART = 0.5;
 
-    private static final double MEAN_WEIGHT = 0.1;
     private static final int FIRST_SERVER_ERROR = 500;
 
     private final EventLoop loop;
     private final BackendPool pool;
     private final BackendPresence presence;
-    private final KeyGate keys;
+    private final HeldKeys keys;
+    private final GrantWaiters grantWaiters;
     private final CrashWatch crashes;
     private final ConcurrencyLimit limit = new ConcurrencyLimit(1);
     private final Admission<GateCall> admission = new Admission<>(limit);
     private final Set<GateCall> waiting = new LinkedHashSet<>();
     private final Set<GateCall> running = new LinkedHashSet<>();
     private final Set<String> runningIds = new HashSet<>();
+    private final MovingMean serviceNs = new MovingMean(0);
     private final Timer waitTimer;
     private final Timer serviceTimer;
     private final Counter refusals;
     private Runnable stateChanged = () -> {};
-    private double meanServiceNs;
     private long unreachableUntilNs = Long.MIN_VALUE;
     private long sequence;
     private boolean sweeping;
@@ -74,19 +72,20 @@
             EventLoop loop,
             BackendPool pool,
             BackendPresence presence,
-            KeyGate keys,
+            HeldKeys keys,
             CrashWatch crashes,
             MetricRegistry metrics) {
         this.loop = loop;
         this.pool = pool;
         this.presence = presence;
         this.keys = keys;
+        this.grantWaiters = new GrantWaiters(keys.holder());
         this.crashes = crashes;
         this.waitTimer = metrics.timer("gate.wait");
         this.serviceTimer = metrics.timer("gate.service");
         this.refusals = metrics.counter("gate.refusals");
         admission.configure(GateSettings.ranks());
-        metrics.gauge("gate.queued", () -> waiting::size);
+        metrics.gauge("gate.queued", () -> this::queued);
         metrics.gauge("gate.running", () -> running::size);
     }
 
@@ -139,7 +138,7 @@
 
     public BackendLoad load() {
         int slots = presence.known() ? presence.current().slots() : 1;
-        return new BackendLoad(running.size(), waiting.size(), slots, (int) (meanServiceNs / 1_000));
+        return new BackendLoad(running.size(), queued(), slots, (int) (serviceNs.mean() / 1_000));
     }
 
     /** Refuses new requests; those that were taken are finished. */
@@ -153,19 +152,26 @@
     }
 
     public int inFlight() {
-        return running.size() + waiting.size();
+        return running.size() + queued();
+    }
+
+    private int queued() {
+        return waiting.size() + grantWaiters.size();
     }
 
     @Override
     public SentRequest send(ForwardedRequest request, ResponseListener listener) {
         long nowNs = System.nanoTime();
-        GateCall call = call(request, listener, nowNs);
+        GateCall call = new GateCall(this, request, listener, QueuePlace.of(request, nowNs), sequence++, nowNs);
         if (request.key() != ForwardedRequest.NO_KEY) {
-            keys.counted(request.key());
+            keys.rates().count(request.key());
         }
         RefusalReason reason = obstacle(request, false, nowNs);
-        if (reason == RefusalReason.NOT_HOLDER && presence.attracts(nowNs) && keys.isAssigned(request.key())) {
-            waiting.add(call);
+        boolean grantedSoon = reason == RefusalReason.NOT_HOLDER
+                && presence.attracts(nowNs)
+                && keys.holder().isAssigned(request.key());
+        if (grantedSoon) {
+            grantWaiters.add(call);
             sweepLater();
             return call;
         }
@@ -180,7 +186,7 @@
 
     void cancelled(GateCall call) {
         switch (call.state()) {
-            case AWAITING_GRANT -> waiting.remove(call);
+            case AWAITING_GRANT -> grantWaiters.remove(call);
             case QUEUED -> dequeue(call);
             case CONNECTING -> {}
             case RUNNING -> {
@@ -201,14 +207,14 @@
 
     void answered(GateCall call) {
         long nowNs = System.nanoTime();
-        long serviceNs = nowNs - call.dispatchedNs();
+        long tookNs = nowNs - call.dispatchedNs();
         boolean success = call.status() < FIRST_SERVER_ERROR;
         if (success) {
-            meanServiceNs = meanServiceNs == 0 ? serviceNs : meanServiceNs + MEAN_WEIGHT * (serviceNs - meanServiceNs);
+            serviceNs.add(tookNs);
         }
-        serviceTimer.update(serviceNs, TimeUnit.NANOSECONDS);
+        serviceTimer.update(tookNs, TimeUnit.NANOSECONDS);
         crashes.answered(call.request().fingerprint(), nowNs);
-        finish(call, success ? serviceNs : -1);
+        finish(call, success ? tookNs : -1);
         call.ended();
         loop.execute(this::pump);
     }
@@ -249,22 +255,6 @@
         limit.loadReported(runningThere, slots, running.size(), System.nanoTime());
     }
 
-    private GateCall call(ForwardedRequest request, ResponseListener listener, long nowNs) {
-        boolean onTime = nowNs < request.objectiveNs();
-        if (request.internal()) {
-            return call(request, listener, GateSettings.INTERNAL, request.deadlineNs(), nowNs);
-        }
-        if (onTime) {
-            return call(request, listener, GateSettings.rank(request.priority()), request.objectiveNs(), nowNs);
-        }
-        return call(request, listener, GateSettings.LATE, request.deadlineNs(), nowNs);
-    }
-
-    private GateCall call(
-            ForwardedRequest request, ResponseListener listener, String rank, long queueDeadlineNs, long nowNs) {
-        return new GateCall(this, request, listener, rank, queueDeadlineNs, sequence++, nowNs);
-    }
-
     /** Returns why the request cannot be sent to the backend server now, or null. */
     private RefusalReason obstacle(ForwardedRequest request, boolean isQueued, long nowNs) {
         if (!presence.known() || nowNs < unreachableUntilNs) {
@@ -276,7 +266,7 @@
         if (crashes.refuses(request.fingerprint(), nowNs)) {
             return RefusalReason.QUARANTINED;
         }
-        if (request.key() != ForwardedRequest.NO_KEY && !keys.serves(request.key(), nowNs)) {
+        if (request.key() != ForwardedRequest.NO_KEY && !keys.holder().serves(request.key(), nowNs)) {
             return RefusalReason.NOT_HOLDER;
         }
         return null;
@@ -297,11 +287,11 @@
             refuse(call, RefusalReason.OVERLOADED, retryAfterMs(result));
             return;
         }
-        admit(late(call, nowNs), nowNs);
+        admit(late(call), nowNs);
     }
 
-    private GateCall late(GateCall call, long nowNs) {
-        return call.withRank(GateSettings.LATE, call.request().deadlineNs(), sequence++);
+    private GateCall late(GateCall call) {
+        return call.withPlace(QueuePlace.late(call.request()), sequence++);
     }
 
     private void evict(GateCall evicted) {
@@ -334,11 +324,11 @@
                 "rank",
                 call.rank(),
                 "queued",
-                waiting.size(),
+                queued(),
                 "running",
                 running.size(),
                 "mean_ms",
-                Math.round(meanServiceNs / 1e6),
+                Math.round(serviceNs.mean() / 1e6),
                 "waited_ms",
                 (System.nanoTime() - call.arrivedNs()) / 1_000_000);
         call.refuse(new Refusal(reason, retryAfterMs, false));
@@ -347,7 +337,7 @@
     /** Sends queued requests while slots are free. */
     private void pump() {
         long nowNs = System.nanoTime();
-        releaseGranted(nowNs);
+        grantWaiters.takeGranted(nowNs).forEach(call -> admit(call, nowNs));
         while (true) {
             GateCall call = admission.next(nowNs);
             if (call == null) {
@@ -367,20 +357,6 @@
         }
     }
 
-    private void releaseGranted(long nowNs) {
-        List<GateCall> granted = new ArrayList<>();
-        for (GateCall call : waiting) {
-            if (call.state() == GateCall.State.AWAITING_GRANT
-                    && keys.serves(call.request().key(), nowNs)) {
-                granted.add(call);
-            }
-        }
-        for (GateCall call : granted) {
-            waiting.remove(call);
-            admit(call, nowNs);
-        }
-    }
-
     private void dispatch(GateCall call, long nowNs) {
         waitTimer.update(nowNs - call.arrivedNs(), TimeUnit.NANOSECONDS);
         call.connecting(presence.current().id());
@@ -457,17 +433,12 @@
     }
 
     private void startLeaving() {
-        EventLog.log(LogEvent.BACKEND_LEAVING, "backend", presence.current().id(), "queued", waiting.size());
+        EventLog.log(LogEvent.BACKEND_LEAVING, "backend", presence.current().id(), "queued", queued());
         stateChanged.run();
     }
 
     private double leastServiceNs() {
-        return meanServiceNs * LEAST_SERVICE_PART;
-    }
-
-    /** Half of the time until the objective, since the request still has to be served then. */
-    private static long grantWaitNs(GateCall call) {
-        return Math.min(GRANT_WAIT_NS, (call.request().objectiveNs() - call.arrivedNs()) / 2);
+        return serviceNs.mean() * LEAST_SERVICE_PART;
     }
 
     private void sweepLater() {
@@ -481,25 +452,23 @@
     private void sweep() {
         sweeping = false;
         long nowNs = System.nanoTime();
+        for (GateCall call : grantWaiters.takeHopeless(nowNs, leastServiceNs())) {
+            refuse(call, RefusalReason.NOT_HOLDER, RETRY_AFTER_MS);
+        }
         for (GateCall call : List.copyOf(waiting)) {
-            check(call, nowNs);
+            // A refusal may have made room, so that a later one of the list was sent meanwhile.
+            if (waiting.contains(call)) {
+                check(call, nowNs);
+            }
         }
         pump();
-        if (!waiting.isEmpty()) {
+        if (queued() > 0) {
             sweepLater();
         }
     }
 
     private void check(GateCall call, long nowNs) {
         boolean expired = call.request().deadlineNs() - nowNs < leastServiceNs();
-        if (call.state() == GateCall.State.AWAITING_GRANT) {
-            boolean lost = !keys.isAssigned(call.request().key());
-            if (expired || lost || nowNs - call.arrivedNs() > grantWaitNs(call)) {
-                waiting.remove(call);
-                refuse(call, RefusalReason.NOT_HOLDER, RETRY_AFTER_MS);
-            }
-            return;
-        }
         if (expired || !presence.accepts(nowNs)) {
             dequeue(call);
             refuse(call, expired ? RefusalReason.EXPIRED : RefusalReason.LEAVING, RETRY_AFTER_MS);
@@ -507,7 +476,7 @@
         }
         if (nowNs > call.deadlineNs()) {
             dequeue(call);
-            admit(late(call, nowNs), nowNs);
+            admit(late(call), nowNs);
         }
     }
 }
--- a/router/src/main/java/org/siskintiller/router/backend/BackendPool.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendPool.java
@@ -6,15 +6,13 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import org.siskintiller.core.model.Address;
+import org.siskintiller.router.Sockets;
 import org.siskintiller.router.request.HeaderNames;
 
 /** Kept connections to the backend server. The one used last is used first, so that surplus ones time out. */
@@ -72,19 +70,13 @@
         connects.inc();
         BackendConnection connection = new BackendConnection(names, this);
         HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
-        new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .handler(new ChannelInitializer<SocketChannel>() {
+        Sockets.connect(loop, address, CONNECT_TIMEOUT_MS, new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         connection.attach(channel);
                         channel.pipeline().addLast(new HttpClientCodec(decoder, false, false), connection);
                     }
                 })
-                .connect(address.host(), address.port())
                 .addListener(connected -> receiver.accept(connected.isSuccess() ? connection : null));
     }
 }
--- a/router/src/main/java/org/siskintiller/router/backend/GateCall.java
+++ b/router/src/main/java/org/siskintiller/router/backend/GateCall.java
@@ -36,11 +36,10 @@
             BackendGate gate,
             ForwardedRequest request,
             ResponseListener listener,
-            String rank,
-            long queueDeadlineNs,
+            QueuePlace place,
             long sequence,
             long arrivedNs) {
-        super(rank, "", queueDeadlineNs, sequence);
+        super(place.rank(), "", place.deadlineNs(), sequence);
         this.gate = gate;
         this.request = request;
         this.listener = listener;
@@ -107,12 +106,21 @@
     }
 
     /** Continues the request in another rank. */
-    GateCall withRank(String rank, long queueDeadlineNs, long sequence) {
-        replacement = new GateCall(gate, request, listener, rank, queueDeadlineNs, sequence, arrivedNs);
+    GateCall withPlace(QueuePlace place, long sequence) {
+        requireNotSent();
+        replacement = new GateCall(gate, request, listener, place, sequence, arrivedNs);
         return replacement;
     }
 
+    /** Guards against a request that is sent twice because it is both in execution and in a queue. */
+    private void requireNotSent() {
+        if (replacement != null || state != State.AWAITING_GRANT && state != State.QUEUED) {
+            throw new IllegalStateException("request " + request.requestId() + " is " + state + " already");
+        }
+    }
+
     void connecting(String instance) {
+        requireNotSent();
         state = State.CONNECTING;
         expectedInstance = instance;
     }
--- a/router/src/main/java/org/siskintiller/router/control/AuthorityDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/AuthorityDriver.java
@@ -41,6 +41,8 @@
     private boolean predecessorGone;
     private long claimNs = Long.MIN_VALUE / 2;
     private boolean stopping;
+    /** Highest term of another authority that asked this one to resign. */
+    private long succeededByTerm;
 
     AuthorityDriver(ControlSettings settings, ControlState state, PeerDirectory peers, RecordAppender appender) {
         this.settings = settings;
@@ -84,6 +86,7 @@
     void claimRead(AuthorityClaim claim, long nowNs) {
         boolean own = claim.instance().equals(self)
                 && claim.incarnation().equals(settings.incarnation())
+                && claim.term() > succeededByTerm
                 && !claim.resigned();
         if (authority != null && (!own || authority.term() != claim.term())) {
             dropAuthority("a record names another authority");
@@ -118,6 +121,7 @@
 
     /** Another instance has a higher term. Returns whether this one is no authority of a lower term any more. */
     boolean resignationAsked(long term) {
+        succeededByTerm = Math.max(succeededByTerm, term);
         if (authority != null && authority.term() < term) {
             dropAuthority("another instance has term " + term);
         }
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -22,7 +22,6 @@
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.backend.BackendGate;
 import org.siskintiller.router.backend.CrashWatch;
-import org.siskintiller.router.backend.KeyGate;
 import org.siskintiller.router.peer.LeaseReply;
 import org.siskintiller.router.peer.PeerClient;
 import org.siskintiller.router.peer.PeerEvents;
@@ -37,7 +36,7 @@
  * Runs the control part of a companion: registers it as a member, follows the records and the other companions, and
  * renews the lease of the own backend server.
  */
-public final class ControlDriver implements PeerEvents, KeyGate, TopicFeed.FeedListener {
+public final class ControlDriver implements PeerEvents, TopicFeed.FeedListener {
     private static final long TICK_MS = 100;
     /** Interval of the status to other companions; changes are told at once. */
     private static final long STATUS_INTERVAL_NS = 500_000_000L;
@@ -73,7 +72,7 @@
     private final BackendPresence presence;
     private final CrashWatch crashes;
     private final KeyHolder holder;
-    private final KeyRates ownRates = new KeyRates();
+    private final KeyRates ownRates;
     private final TopicFeed feed;
     private final Map<Integer, Long> renewalsSent = new HashMap<>();
     private RequestRouter router;
@@ -111,7 +110,8 @@
         this.gate = backend.gate();
         this.presence = backend.presence();
         this.crashes = backend.crashes();
-        this.holder = backend.keys();
+        this.holder = backend.keys().holder();
+        this.ownRates = backend.keys().rates();
         this.feed = new TopicFeed(store, StoreTopic.CONTROL, loop, this::readWaitMs, this);
     }
 
@@ -181,21 +181,6 @@
         answer.accept(granted);
     }
 
-    @Override
-    public boolean serves(int key, long nowNs) {
-        return holder.serves(key, nowNs);
-    }
-
-    @Override
-    public boolean isAssigned(int key) {
-        return holder.isAssigned(key);
-    }
-
-    @Override
-    public void counted(int key) {
-        ownRates.count(key);
-    }
-
     // ---- Records of the control topic ----
 
     @Override
@@ -281,9 +266,7 @@
                 config.version(),
                 state.end(),
                 hearsAuthority(nowNs),
-                Math.max(followedTerm, state.authority().term()),
-                (nowNs - feed.contactNs()) / 1_000_000,
-                stopping);
+                (nowNs - feed.contactNs()) / 1_000_000);
     }
 
     @Override
@@ -319,7 +302,7 @@
                 client.shareRecords(state.records());
             }
             if (status.configVersion() < config.version()) {
-                client.shareConfig(config.version(), config.content());
+                client.shareConfig(config.content());
             }
         }
     }
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
 import org.siskintiller.node.EventLog;
@@ -113,6 +114,10 @@
                 next.response.becomeFirst(channel);
             }
         }
+        if (closing && entries.isEmpty()) {
+            closeAfterResponse();
+            return;
+        }
         if (!channel.config().isAutoRead() && entries.size() < MOST_PIPELINED) {
             channel.config().setAutoRead(true);
         }
@@ -123,16 +128,12 @@
         channel.close();
     }
 
-    /** Announces the end of the connection with a response when the process stops. */
-    void closeIfStopping(HttpHeaders headers, boolean complete) {
-        boolean last = server.stopping() && entries.size() == 1;
-        if (last && !closing) {
+    /** Announces the end of the connection with its last response when the process stops. */
+    void closeIfStopping(HttpHeaders headers) {
+        if (server.stopping() && entries.size() == 1) {
             closing = true;
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        if (closing && complete) {
-            channel.eventLoop().execute(this::closeAfterResponse);
-        }
     }
 
     /**
@@ -151,6 +152,10 @@
     }
 
     private void begin(HttpRequest request) {
+        if (request.decoderResult().cause() instanceof TooLongHttpHeaderException) {
+            reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers above the configured limit");
+            return;
+        }
         if (request.decoderResult().isFailure()) {
             rejectMalformed("malformed request: " + request.decoderResult().cause());
             return;
@@ -194,18 +199,13 @@
         byte[] bytes = ByteBufUtil.getBytes(body);
         head = null;
         releaseBody();
-        CallerResponse response = new CallerResponse(this, whole.method().name().equals("HEAD"));
-        Entry entry = new Entry(response);
-        entries.addLast(entry);
-        if (entries.size() == 1) {
-            response.becomeFirst(channel);
-        }
+        Entry entry = addEntry(whole.method().name().equals("HEAD"));
         if (entries.size() >= MOST_PIPELINED) {
             channel.config().setAutoRead(false);
         }
         CallerRequest request =
                 new CallerRequest(whole.method().name(), whole.uri(), whole.headers(), bytes, arrivedNs);
-        entry.callerLeft = server.handler().handle(request, response);
+        entry.callerLeft = server.handler().handle(request, entry.response);
     }
 
     private void rejectMalformed(String detail) {
@@ -217,14 +217,17 @@
         EventLog.log(LogEvent.REQUEST_REJECTED, "status", status.code(), "cause", detail);
         head = null;
         releaseBody();
-        CallerResponse response = new CallerResponse(this, false);
-        entries.addLast(new Entry(response));
+        closing = true;
+        addEntry(false).response.send(status.code(), List.of(), new byte[0]);
+    }
+
+    private Entry addEntry(boolean headRequest) {
+        Entry entry = new Entry(new CallerResponse(this, headRequest));
+        entries.addLast(entry);
         if (entries.size() == 1) {
-            response.becomeFirst(channel);
+            entry.response.becomeFirst(channel);
         }
-        response.send(status.code(), List.of(), new byte[0]);
-        closing = true;
-        channel.eventLoop().execute(this::closeWhenIdle);
+        return entry;
     }
 
     private void releaseBody() {
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerResponse.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerResponse.java
@@ -105,7 +105,7 @@
 
     private void write(Channel channel, HttpObject message) {
         if (message instanceof DefaultHttpResponse response) {
-            connection.closeIfStopping(response.headers(), complete);
+            connection.closeIfStopping(response.headers());
         }
         int bytes = message instanceof DefaultHttpContent content
                 ? content.content().readableBytes()
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
@@ -18,7 +18,7 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import org.siskintiller.core.model.Address;
 import org.siskintiller.core.path.CallerLimits;
-import org.siskintiller.router.ServerSockets;
+import org.siskintiller.router.Sockets;
 
 /** HTTP server for callers, or for local pages and heartbeats. */
 public final class CallerServer {
@@ -29,7 +29,6 @@
     private static final int FLUSHES = 64;
 
     private static final int MAX_INITIAL_LINE_BYTES = 16_384;
-    private static final int MAX_HEADER_BYTES = 65_536;
 
     private final EventLoop loop;
     private final CallerHandler handler;
@@ -45,12 +44,12 @@
     }
 
     public void bind(Address address) throws IOException {
-        HttpDecoderConfig decoder = new HttpDecoderConfig()
-                .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
-                .setMaxHeaderSize(MAX_HEADER_BYTES);
-        server = ServerSockets.bind(loop, address, new ChannelInitializer<SocketChannel>() {
+        server = Sockets.bind(loop, address, new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
+                HttpDecoderConfig decoder = new HttpDecoderConfig()
+                        .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+                        .setMaxHeaderSize(limits.get().maxHeaderBytes());
                 channel.pipeline()
                         .addLast(new FlushConsolidationHandler(FLUSHES, true))
                         .addLast(new HttpServerCodec(decoder))
--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -6,22 +6,21 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.bootstrap.Bootstrap;
+import com.google.protobuf.ByteString;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import org.siskintiller.core.balance.BackendLoad;
 import org.siskintiller.core.gate.Suspicion;
 import org.siskintiller.core.lease.HolderReport;
 import org.siskintiller.core.model.Address;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.Sockets;
 import org.siskintiller.router.request.Destination;
 import org.siskintiller.router.request.ForwardedRequest;
 import org.siskintiller.router.request.Refusal;
@@ -103,18 +102,13 @@
         if (closed) {
             return;
         }
-        ChannelFuture future = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .handler(new ChannelInitializer<SocketChannel>() {
+        ChannelFuture future =
+                Sockets.connect(loop, address, CONNECT_TIMEOUT_MS, new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel newChannel) {
                         PeerPipeline.add(newChannel.pipeline(), new Reader());
                     }
-                })
-                .connect(address.host(), address.port());
+                });
         channel = future.channel();
         future.addListener(done -> {
             if (!done.isSuccess()) {
@@ -148,11 +142,9 @@
         write(Frames.renewal(report, term, sequence));
     }
 
-    public void shareConfig(long version, byte[] content) {
+    public void shareConfig(byte[] content) {
         write(Frame.newBuilder()
-                .setSharedConfig(CompanionProto.SharedConfig.newBuilder()
-                        .setVersion(version)
-                        .setContent(com.google.protobuf.ByteString.copyFrom(content)))
+                .setSharedConfig(CompanionProto.SharedConfig.newBuilder().setContent(ByteString.copyFrom(content)))
                 .build());
     }
 
@@ -249,9 +241,7 @@
                 frame.getConfigVersion(),
                 frame.getRecordsEnd(),
                 frame.getHearsAuthority(),
-                frame.getTerm(),
-                frame.getStoreAgeMs(),
-                frame.getStopping());
+                frame.getStoreAgeMs());
         if (first) {
             reconnectMs = FIRST_RECONNECT_MS;
             EventLog.log(LogEvent.PEER_CONNECTED, "peer", instance, "address", address);
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -16,7 +16,7 @@
 import org.siskintiller.core.model.Address;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
-import org.siskintiller.router.ServerSockets;
+import org.siskintiller.router.Sockets;
 import org.siskintiller.router.backend.BackendGate;
 import org.siskintiller.router.request.Refusal;
 import org.siskintiller.router.request.ResponseHead;
@@ -41,7 +41,7 @@
     }
 
     public void bind(Address address) throws IOException {
-        server = ServerSockets.bind(loop, address, new ChannelInitializer<SocketChannel>() {
+        server = Sockets.bind(loop, address, new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
                 PeerPipeline.add(channel.pipeline(), new Connection());
@@ -70,9 +70,7 @@
                         .setConfigVersion(status.configVersion())
                         .setRecordsEnd(status.recordsEnd())
                         .setHearsAuthority(status.hearsAuthority())
-                        .setTerm(status.term())
-                        .setStoreAgeMs((int) Math.min(Integer.MAX_VALUE, status.storeAgeMs()))
-                        .setStopping(status.stopping()))
+                        .setStoreAgeMs((int) Math.min(Integer.MAX_VALUE, status.storeAgeMs())))
                 .build();
     }
 
--- a/router/src/main/java/org/siskintiller/router/peer/PeerStatus.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerStatus.java
@@ -12,7 +12,6 @@
  * @param configVersion version of the configuration in force there
  * @param recordsEnd offset up to which it knows the records of the control topic
  * @param hearsAuthority whether it hears the lease authority
- * @param term term of the authority that it follows
  * @param storeAgeMs age of its last contact with the store
  */
 public record PeerStatus(
@@ -22,9 +21,7 @@
         long configVersion,
         long recordsEnd,
         boolean hearsAuthority,
-        long term,
-        long storeAgeMs,
-        boolean stopping) {
+        long storeAgeMs) {
 
     public PeerStatus {
         Objects.requireNonNull(service, "service");
--- a/router/src/main/java/org/siskintiller/router/request/HopHeaders.java
+++ b/router/src/main/java/org/siskintiller/router/request/HopHeaders.java
@@ -8,22 +8,12 @@
 import java.util.Set;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import org.siskintiller.node.http.HeaderRules;
 
 /** Removes header fields that concern one connection only (RFC 9110, section 7.6.1). */
 public final class HopHeaders {
-    private static final Set<String> HOP_BY_HOP = Set.of(
-            "connection",
-            "keep-alive",
-            "proxy-authenticate",
-            "proxy-authorization",
-            "proxy-connection",
-            "te",
-            "trailer",
-            "transfer-encoding",
-            "upgrade",
-            "http2-settings",
-            "content-length",
-            "expect");
+    /** Fields that the sender of the next hop writes anew. */
+    private static final Set<String> REWRITTEN = Set.of("content-length", "expect");
 
     private HopHeaders() {}
 
@@ -38,7 +28,8 @@
         List<Header> kept = new ArrayList<>(headers.size());
         for (Map.Entry<String, String> field : headers) {
             String lower = field.getKey().toLowerCase(Locale.ROOT);
-            if (!HOP_BY_HOP.contains(lower) && !named.contains(lower) && !replaced.contains(lower)) {
+            boolean dropped = HeaderRules.isHopByHop(lower) || REWRITTEN.contains(lower);
+            if (!dropped && !named.contains(lower) && !replaced.contains(lower)) {
                 kept.add(new Header(field.getKey(), field.getValue()));
             }
         }
--- /dev/null
+++ b/router/src/test/java/org/siskintiller/router/backend/GrantWaitersTest.java
@@ -0,0 +1,56 @@
+package org.siskintiller.router.backend;
+
+import java.util.List;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.siskintiller.core.keyrange.KeyGrant;
+import org.siskintiller.core.keyrange.KeyRange;
+import org.siskintiller.core.lease.BackendBeat;
+import org.siskintiller.core.lease.KeyHolder;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class GrantWaitersTest {
+    private static final long RUN = 1;
+
+    private final KeyHolder keys = new KeyHolder(10_000, -60_000 * Calls.MS);
+    private final GrantWaiters waiters = new GrantWaiters(keys);
+    private final GateCall call = Calls.call(Calls.request(7), 0);
+
+    @BeforeEach
+    void assign() {
+        keys.assign(List.of(new KeyGrant(new KeyRange(0, 99), "self", RUN, 1, "")));
+        waiters.add(call);
+    }
+
+    @Nested
+    class Waiting {
+        /** Load pattern: keys that change hands. Guards against requests that stay although their key is held. */
+        @Test
+        void endsWithTheGrant() {
+            assertThat(waiters.takeGranted(0)).isEmpty();
+            keys.renewed(0, 3_500);
+            keys.beat(new BackendBeat(RUN, 1, List.of(), List.of()), 0);
+
+            assertThat(waiters.takeGranted(10 * Calls.MS)).containsExactly(call);
+            assertThat(waiters.size()).isEqualTo(0);
+        }
+
+        /** Guards against a request that is held until it can no longer be answered in time. */
+        @Test
+        void endsAtHalfOfTheObjective() {
+            assertThat(waiters.takeHopeless(249 * Calls.MS, 0)).isEmpty();
+            assertThat(waiters.takeHopeless(251 * Calls.MS, 0)).containsExactly(call);
+        }
+
+        /** Guards against a request that waits for a key that went to another backend server. */
+        @Test
+        void endsWhenTheKeyIsAssignedElsewhere() {
+            keys.assign(List.of());
+
+            assertThat(waiters.takeHopeless(1, 0)).containsExactly(call);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/siskintiller/router/control/AuthorityDriverTest.java
@@ -0,0 +1,74 @@
+package org.siskintiller.router.control;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.siskintiller.core.model.Address;
+import org.siskintiller.core.model.Incarnation;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class AuthorityDriverTest {
+    private static final Incarnation INCARNATION = new Incarnation(1);
+
+    private AuthorityDriver driver;
+
+    @BeforeEach
+    void create() {
+        Member self = new Member("self", new Address("127.0.0.1", 1), "domain", "service");
+        ControlState state = new ControlState();
+        PeerDirectory peers = new PeerDirectory("self", "domain", "service", null, state, null);
+        driver = new AuthorityDriver(new ControlSettings(self, INCARNATION), state, peers, null);
+    }
+
+    @Nested
+    class Claiming {
+        @Test
+        void beginsWithTheOwnClaim() {
+            driver.claimRead(claim(INCARNATION, 4), 0);
+
+            assertThat(driver.active()).isTrue();
+        }
+
+        /** Guards against a claim of an earlier process that is taken for the own one. */
+        @Test
+        void ignoresTheClaimOfAnEarlierProcess() {
+            driver.claimRead(claim(new Incarnation(2), 4), 0);
+
+            assertThat(driver.active()).isFalse();
+        }
+
+        /** Guards against two authorities: the successor counts on the answer as soon as it has it. */
+        @Test
+        void ignoresAnOlderClaimThatIsReadAfterTheResignation() {
+            assertThat(driver.resignationAsked(5)).isTrue();
+            driver.claimRead(claim(INCARNATION, 4), 0);
+
+            assertThat(driver.active()).isFalse();
+        }
+    }
+
+    @Nested
+    class Resigning {
+        @Test
+        void endsTheAuthorityOfALowerTerm() {
+            driver.claimRead(claim(INCARNATION, 4), 0);
+
+            assertThat(driver.resignationAsked(5)).isTrue();
+            assertThat(driver.active()).isFalse();
+        }
+
+        /** Guards against a late message of an earlier successor that ends a newer authority. */
+        @Test
+        void keepsTheAuthorityOfAHigherTerm() {
+            driver.claimRead(claim(INCARNATION, 6), 0);
+
+            assertThat(driver.resignationAsked(5)).isFalse();
+            assertThat(driver.active()).isTrue();
+        }
+    }
+
+    private static AuthorityClaim claim(Incarnation incarnation, long term) {
+        return new AuthorityClaim("self", incarnation, term, false);
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/siskintiller/router/ingress/CallerServerTest.java
@@ -0,0 +1,188 @@
+package org.siskintiller.router.ingress;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.siskintiller.core.model.Address;
+import org.siskintiller.core.path.CallerLimits;
+import org.siskintiller.router.request.ResponseHead;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Paths of the requests say what the handler does: /slow, /fast, /cut and /never. */
+class CallerServerTest {
+    private static final int READ_TIMEOUT_MS = 5_000;
+    private static final long SLOW_MS = 300;
+    private static final int MAX_HEADER_BYTES = 1_000;
+
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) loops.next();
+    private final CountDownLatch callerLeft = new CountDownLatch(1);
+    private final CallerServer server =
+            new CallerServer(loop, this::handle, () -> new CallerLimits(MAX_HEADER_BYTES, 10_000, 15_000));
+
+    @BeforeEach
+    void bind() throws IOException {
+        server.bind(new Address("127.0.0.1", 0));
+    }
+
+    @AfterEach
+    void close() {
+        server.close();
+        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    @Nested
+    class Ordering {
+        /** Guards against a response that reaches the caller in the place of an earlier one. */
+        @Test
+        void writesResponsesInTheOrderOfRequests() throws IOException {
+            try (Socket socket = send(get("/slow") + get("/fast") + get("/slow") + get("/close"))) {
+                assertThat(bodies(socket)).isEqualTo("[/slow][/fast][/slow]");
+            }
+        }
+
+        /** Guards against an error for a later request that cuts the responses before it. */
+        @Test
+        void answersEarlierRequestsBeforeTheEndOfAMalformedOne() throws IOException {
+            try (Socket socket = send(get("/slow") + "GET / HTTP/1.1\r\nbad header\r\n\r\n")) {
+                String all = readAll(socket);
+                assertThat(all).contains("[/slow]");
+                assertThat(all.indexOf("400 Bad Request")).isGreaterThan(all.indexOf("[/slow]"));
+            }
+        }
+    }
+
+    @Nested
+    class Limiting {
+        /** Guards against headers without bound. */
+        @Test
+        void refusesLongHeaders() throws IOException {
+            String padding = "x".repeat(MAX_HEADER_BYTES);
+            try (Socket socket = send("GET /fast HTTP/1.1\r\nhost: a\r\npadding: " + padding + "\r\n\r\n")) {
+                assertThat(readAll(socket)).startsWith("HTTP/1.1 431");
+            }
+        }
+
+        @Test
+        void refusesLongBodies() throws IOException {
+            try (Socket socket =
+                    send("POST /fast HTTP/1.1\r\nhost: a\r\ncontent-length: 20000\r\n\r\n" + "x".repeat(20_000))) {
+                assertThat(readAll(socket)).startsWith("HTTP/1.1 413");
+            }
+        }
+
+        /** Guards against a request hidden in another one. */
+        @Test
+        void refusesTwoLengths() throws IOException {
+            try (Socket socket = send("POST /fast HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n"
+                    + "transfer-encoding: chunked\r\n\r\n0\r\n\r\n")) {
+                assertThat(readAll(socket)).startsWith("HTTP/1.1 400");
+            }
+        }
+    }
+
+    @Nested
+    class Ending {
+        /** Guards against a broken response that looks complete. */
+        @Test
+        void cutsAResponseVisibly() throws IOException {
+            try (Socket socket = send(get("/cut"))) {
+                String all = readAll(socket);
+                assertThat(all).contains("part");
+                assertThat(all).doesNotContain("0\r\n\r\n");
+            }
+        }
+
+        /** Guards against a backend server that works on for a caller that left. */
+        @Test
+        void tellsThatTheCallerLeft() throws Exception {
+            try (Socket socket = send(get("/never"))) {
+                Thread.sleep(200);
+                assertThat(callerLeft.getCount()).isEqualTo(1);
+            }
+            assertThat(callerLeft.await(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
+        }
+
+        /** Guards against connections that a stopping process announces to close and then keeps. */
+        @Test
+        void closesAfterTheLastResponseOfAStop() throws Exception {
+            try (Socket socket = send(get("/slow"))) {
+                Thread.sleep(100);
+                loop.submit(server::stop).get();
+                String all = readAll(socket);
+                assertThat(all).contains("connection: close");
+                assertThat(all).contains("[/slow]");
+            }
+        }
+    }
+
+    private Runnable handle(CallerRequest request, CallerResponse response) {
+        switch (request.uri()) {
+            case "/slow" -> loop.schedule(() -> answer(request, response), SLOW_MS, TimeUnit.MILLISECONDS);
+            case "/cut" -> {
+                response.start(new ResponseHead(200, List.of(), ResponseHead.UNKNOWN_LENGTH));
+                response.data("part".getBytes(StandardCharsets.UTF_8), false);
+                loop.schedule(response::abort, SLOW_MS, TimeUnit.MILLISECONDS);
+            }
+            case "/never" -> {
+                return callerLeft::countDown;
+            }
+            default -> answer(request, response);
+        }
+        return () -> {};
+    }
+
+    /** Answers in parts, as responses of backend servers arrive. */
+    private static void answer(CallerRequest request, CallerResponse response) {
+        byte[] body = ("[" + request.uri() + "]").getBytes(StandardCharsets.UTF_8);
+        response.start(new ResponseHead(200, List.of(), body.length));
+        response.data(body, true);
+    }
+
+    private Socket send(String bytes) throws IOException {
+        Socket socket = new Socket("127.0.0.1", server.port());
+        socket.setSoTimeout(READ_TIMEOUT_MS);
+        socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
+        return socket;
+    }
+
+    private static String get(String path) {
+        return "GET " + path + " HTTP/1.1\r\nhost: a\r\n\r\n";
+    }
+
+    /** Reads until the response to /close, which marks the end. */
+    private static String bodies(Socket socket) throws IOException {
+        StringBuilder text = new StringBuilder();
+        InputStream input = socket.getInputStream();
+        while (text.indexOf("[/close]") < 0) {
+            int read = input.read();
+            if (read < 0) {
+                throw new IOException("the connection ended after: " + text);
+            }
+            text.append((char) read);
+        }
+        StringBuilder bodies = new StringBuilder();
+        for (String line : text.toString().split("HTTP/1.1")) {
+            int at = line.indexOf('[');
+            bodies.append(at < 0 || line.contains("[/close]") ? "" : line.substring(at));
+        }
+        return bodies.toString();
+    }
+
+    private static String readAll(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+}
