Test the key leases with a deposed authority that lives on

Cause: the random test of the leases replaced the old authority at once, so the wait of a new one was never needed, though a comment said otherwise.

Change: an authority that does not know of its successor goes on to renew leases on the table that it knows, for as long as it may without the store, for machines that follow no later term. A second test shows that the check fails when the new authority does not wait.

--- a/core/src/test/java/org/siskintiller/core/lease/OwnershipRandomTest.java
+++ b/core/src/test/java/org/siskintiller/core/lease/OwnershipRandomTest.java
@@ -37,6 +37,19 @@
             assertThat(world.faults).isEmpty();
         }
 
+        /** Shows that the check can fail: a new authority that does not wait for the old one breaks the rule. */
+        @Test
+        void detectsAnAuthorityThatDoesNotWait() {
+            int faults = 0;
+            for (long seed = 1; seed <= 20; seed++) {
+                World world = new World(seed, LeaseTiming.BACKEND_CLOCK_DRIFT);
+                world.waitsForDeposed = false;
+                world.run(120_000);
+                faults += world.faults.size();
+            }
+            assertThat(faults).isGreaterThan(0);
+        }
+
         /** Guards against an idle test: keys must really change hands and be served. */
         @Test
         void keysMoveAndAreServed() {
@@ -71,9 +84,13 @@
         private final Map<Integer, Long> highestFence = new HashMap<>();
         private KeyTable table = KeyTable.empty(SERVICE);
         private Authority authority;
+        private Authority deposed;
+        private KeyTable deposedTable;
+        private long deposedContactNs;
         private long term;
         private KeyTable proposal;
         private long proposalDueNs;
+        private boolean waitsForDeposed = true;
         private int samples;
         private int heldSamples;
 
@@ -94,9 +111,11 @@
 
         private void step(long nowNs) {
             if (random.nextInt(3_000) == 0) {
-                // The machines hear the new term at different times, and the old authority may live on unheard.
                 elect(nowNs, random.nextBoolean());
             }
+            if (!Authority.mayRenew(deposedContactNs, nowNs)) {
+                deposed = null;
+            }
             if (proposal != null && nowNs >= proposalDueNs) {
                 table = proposal;
                 proposal = null;
@@ -118,8 +137,12 @@
             if (proposal != null) {
                 return;
             }
+            // One that does not know of its successor renews leases on the table that it knows.
+            deposed = resigned ? null : authority;
+            deposedTable = table;
+            deposedContactNs = nowNs;
             term++;
-            authority = new Authority(term, resigned, nowNs);
+            authority = new Authority(term, resigned || !waitsForDeposed, nowNs);
         }
 
         private void check(long nowNs) {
@@ -150,6 +173,8 @@
             private KeyHolder holder;
             private KeyTable known = KeyTable.empty(SERVICE);
             private long cutUntilNs;
+            private long besideDeposedUntilNs;
+            private long followedTerm;
             private long nextRenewalNs;
             private long nextBeatNs;
             private long run = 1;
@@ -183,9 +208,14 @@
                 boolean cut = nowNs < cutUntilNs;
                 if (!cut && nowNs >= nextRenewalNs) {
                     nextRenewalNs = nowNs + LeaseTiming.RENEWAL_INTERVAL_NS;
-                    known = table;
-                    holder.assign(known.heldBy(name));
-                    renew(nowNs);
+                    boolean besideDeposed = deposed != null && nowNs < besideDeposedUntilNs;
+                    if (besideDeposed && followedTerm <= deposed.term()) {
+                        renew(deposed, deposedTable, nowNs);
+                    } else if (!besideDeposed) {
+                        known = table;
+                        holder.assign(known.heldBy(name));
+                        renew(authority, table, nowNs);
+                    }
                 }
                 boolean silent = nowNs < backendSilentUntilNs;
                 if (nowNs >= backendDownUntilNs && !silent && nowNs >= nextBeatNs) {
@@ -195,6 +225,9 @@
             }
 
             private void injectFaults(long nowNs) {
+                if (deposed != null && random.nextInt(300) == 0) {
+                    besideDeposedUntilNs = nowNs + random.nextInt(15_000) * MS;
+                }
                 switch (random.nextInt(2_000)) {
                     case 0 -> {
                         cutUntilNs = nowNs + random.nextInt(8_000) * MS;
@@ -217,7 +250,7 @@
                 }
             }
 
-            private void renew(long nowNs) {
+            private void renew(Authority from, KeyTable committed, long nowNs) {
                 boolean serving = nowNs >= backendDownUntilNs && nowNs >= backendSilentUntilNs;
                 HolderReport report = new HolderReport(
                         name,
@@ -229,7 +262,8 @@
                         holder.released(),
                         Map.of());
                 long sentNs = nowNs - random.nextInt(200) * MS;
-                authority.renew(report, table, nowNs).ifPresent(release -> {
+                followedTerm = Math.max(followedTerm, from.term());
+                from.renew(report, committed, nowNs).ifPresent(release -> {
                     holder.renewed(sentNs, LeaseTiming.LEASE_NS / MS);
                     holder.release(release);
                 });
