--- a/core/src/test/java/org/siskintiller/core/path/RoutesTest.java
+++ b/core/src/test/java/org/siskintiller/core/path/RoutesTest.java
@@ -10,11 +10,13 @@
 import static com.google.common.truth.Truth.assertThat;
 
 class RoutesTest {
+    private static final Route.WeightedService ONLY = new Route.WeightedService("service", 1);
+
     @Nested
     class Finding {
         private final RouteTable table = new RouteTable(
                 1,
-                Map.of("host.example", List.of(route("short", "/a/"), route("long", "/a/b/"))),
+                Map.of("host.example", List.of(route("short", "/a/", ONLY), route("long", "/a/b/", ONLY))),
                 Map.of(),
                 CallerLimits.INITIAL);
 
@@ -43,15 +45,7 @@
         /** Guards against shares that only hold over many requests: a short time of 20 must be exact. */
         @Test
         void keepsTheWeightsOverFewRequests() {
-            Route route = new Route(
-                    "split",
-                    "/",
-                    RequestKind.IDEMPOTENT,
-                    1_000,
-                    500,
-                    0,
-                    List.of(new Route.WeightedService("a", 90), new Route.WeightedService("b", 10)),
-                    2);
+            Route route = route("split", "/", new Route.WeightedService("a", 90), new Route.WeightedService("b", 10));
             WeightedSplit split = new WeightedSplit();
             Map<String, Integer> counts = new HashMap<>();
             for (int i = 0; i < 20; i++) {
@@ -64,15 +58,7 @@
         /** Guards against a part without weight that gets requests, or a total of zero that divides. */
         @Test
         void sendsNothingToAWeightOfZero() {
-            Route route = new Route(
-                    "split",
-                    "/",
-                    RequestKind.IDEMPOTENT,
-                    1_000,
-                    500,
-                    0,
-                    List.of(new Route.WeightedService("a", 1), new Route.WeightedService("b", 0)),
-                    2);
+            Route route = route("split", "/", new Route.WeightedService("a", 1), new Route.WeightedService("b", 0));
             WeightedSplit split = new WeightedSplit();
             for (int i = 0; i < 5; i++) {
                 assertThat(split.choose(route)).isEqualTo("a");
@@ -80,15 +66,7 @@
         }
     }
 
-    private static Route route(String name, String prefix) {
-        return new Route(
-                name,
-                prefix,
-                RequestKind.IDEMPOTENT,
-                1_000,
-                500,
-                0,
-                List.of(new Route.WeightedService("service", 1)),
-                2);
+    private static Route route(String name, String prefix, Route.WeightedService... services) {
+        return new Route(name, prefix, RequestKind.IDEMPOTENT, 1_000, 500, 0, List.of(services), 2);
     }
 }
