Refuse late requests that get no slot and drop openings of an ended session

Cause: a hot key kept one backend server a sixth above its capacity. One long interval of a cold process also counted as the pace of a queue, so that a first request was refused for a predicted wait of 768 ms.

Change: the predicted wait of a rank without a share counts the queues before it and the slots that they leave; the pace of a queue needs four intervals; openings that were collected in the call that ends the own session are dropped.

--- a/core/src/main/java/org/siskintiller/core/admission/Admission.java
+++ b/core/src/main/java/org/siskintiller/core/admission/Admission.java
@@ -16,6 +16,8 @@
     private static final double SAVED_CREDIT_NS = 100_000_000;
     /** Factor on the predicted wait. Without it a rank in overload starts many requests that cannot end in time. */
     private static final double WAIT_MARGIN = 1.25;
+    /** Slots that are assumed to be left over at least, so that a prediction stays finite. */
+    private static final double LEAST_LEFT_SLOTS = 0.1;
 
     private final ConcurrencyLimit limit;
     private final Map<String, RankQueue<T>> ranks = new LinkedHashMap<>();
@@ -73,8 +75,8 @@
         // A free slot and an idle rank always take a request, so that an outdated mean of service times corrects
         // itself.
         boolean free = rank.idle() || queued == 0 && inFlight < limit.limit();
-        double waitNs = free ? 0 : rank.predictedWaitNs(request.customer(), limit.limit(), nowNs);
-        if (!free && nowNs + WAIT_MARGIN * waitNs + rank.meanServiceNs() > request.deadlineNs()) {
+        double waitNs = free ? 0 : predictedWaitNs(rank, request, nowNs);
+        if (!free && nowNs + WAIT_MARGIN * waitNs + serviceNs(rank) > request.deadlineNs()) {
             rank.admittedShare().refused(nowNs);
             String detail = "the predicted wait of " + Math.round(waitNs / 1e6) + " ms exceeds the deadline";
             return new AdmissionResult.TooLate<>(detail, retryAfterMs(rank));
@@ -182,6 +184,37 @@
         return loads;
     }
 
+    private double predictedWaitNs(RankQueue<T> rank, T request, long nowNs) {
+        double waitNs = rank.predictedWaitNs(request.customer(), limit.limit(), nowNs);
+        return rank.settings().share() > 0 ? waitNs : Math.max(waitNs, leftoverWaitNs(rank, nowNs));
+    }
+
+    /**
+     * Wait in a rank without a guaranteed share. It gets the slots that the more urgent ranks leave, which are none
+     * while those are in overload, however short its own queue is.
+     */
+    private double leftoverWaitNs(RankQueue<T> rank, long nowNs) {
+        int ahead = rank.queued() + 1;
+        double urgentSlots = 0;
+        for (RankQueue<T> each : ordered) {
+            if (each.settings().order() < rank.settings().order()) {
+                ahead += each.queued();
+                urgentSlots += each.recentSlots(nowNs);
+            }
+        }
+        double leftSlots = Math.max(LEAST_LEFT_SLOTS, limit.limit() - urgentSlots);
+        return ahead * serviceNs(rank) / leftSlots;
+    }
+
+    /** Mean service time of the rank, or the longest of the others while the rank has not been measured. */
+    private double serviceNs(RankQueue<T> rank) {
+        double longest = rank.meanServiceNs();
+        for (RankQueue<T> each : rank.measured() ? List.<RankQueue<T>>of() : ordered) {
+            longest = Math.max(longest, each.meanServiceNs());
+        }
+        return longest;
+    }
+
     private RankQueue<T> firstWithCredit() {
         for (RankQueue<T> rank : ordered) {
             if (rank.queued() > 0 && rank.creditNs() > 0) {
--- a/core/src/main/java/org/siskintiller/core/admission/MovingMean.java
+++ b/core/src/main/java/org/siskintiller/core/admission/MovingMean.java
@@ -7,7 +7,7 @@
 
     private final double initial;
     private double mean;
-    private boolean sampled;
+    private int samples;
 
     public MovingMean(double initial) {
         this.initial = initial;
@@ -15,17 +15,22 @@
     }
 
     public void add(double sample) {
-        mean = sampled ? mean + WEIGHT * (sample - mean) : sample;
-        sampled = true;
+        mean = samples == 0 ? sample : mean + WEIGHT * (sample - mean);
+        samples++;
     }
 
     public void reset() {
         mean = initial;
-        sampled = false;
+        samples = 0;
     }
 
     public boolean sampled() {
-        return sampled;
+        return samples > 0;
+    }
+
+    /** Samples since the start or the last reset. */
+    public int samples() {
+        return samples;
     }
 
     public double mean() {
--- a/core/src/main/java/org/siskintiller/core/admission/RankQueue.java
+++ b/core/src/main/java/org/siskintiller/core/admission/RankQueue.java
@@ -10,6 +10,8 @@
 final class RankQueue<T extends QueuedRequest> {
     /** Service time that is assumed before one is measured. */
     private static final double INITIAL_SERVICE_NS = 5_000_000;
+    /** Intervals that tell the pace of a queue. The first ones of a cold process are many times longer than usual. */
+    private static final int LEAST_INTERVALS = 4;
     /** Idle customers whose virtual time is kept. Above this number idle customers are forgotten. */
     private static final int MAX_IDLE_FLOWS = 10_000;
 
@@ -24,6 +26,7 @@
     private final MovingMean service = new MovingMean(INITIAL_SERVICE_NS);
     private final MovingMean dispatchInterval = new MovingMean(0);
     private final AdmittedShare admittedShare = new AdmittedShare();
+    private final RecentWork recentWork = new RecentWork();
     private RankSettings settings;
     private ToIntFunction<String> weights;
     private double virtualTime;
@@ -99,6 +102,7 @@
             byVirtualTime.add(flow);
         }
         dispatchInterval.add(nowNs - lastDispatchNs);
+        recentWork.add(service.mean(), nowNs);
         lastDispatchNs = nowNs;
         inFlight++;
         dispatched++;
@@ -130,7 +134,9 @@
         int weight = weightOf(customer);
         int active = own == 0 ? activeWeight + weight : activeWeight;
         double ahead = Math.min(queued, (double) (own + 1) * active / weight);
-        double interval = dispatchInterval.sampled() ? dispatchInterval.mean() : service.mean() / Math.max(1, limit);
+        double interval = dispatchInterval.samples() >= LEAST_INTERVALS
+                ? dispatchInterval.mean()
+                : service.mean() / Math.max(1, limit);
         double guaranteedSlots = settings.share() * limit;
         if (guaranteedSlots > 0) {
             interval = Math.min(interval, service.mean() / guaranteedSlots);
@@ -178,6 +184,16 @@
         return creditNs;
     }
 
+    /** Whether a service time has been measured. */
+    boolean measured() {
+        return service.sampled();
+    }
+
+    /** Slots that the requests of this rank kept busy lately. */
+    double recentSlots(long nowNs) {
+        return recentWork.slots(nowNs);
+    }
+
     double meanServiceNs() {
         return service.mean();
     }
--- a/core/src/main/java/org/siskintiller/core/ownership/OwnershipTable.java
+++ b/core/src/main/java/org/siskintiller/core/ownership/OwnershipTable.java
@@ -210,8 +210,13 @@
             return;
         }
         stopped = true;
-        // A slot that opened in this call must not reach the gate after its closing.
-        openings.flush();
+        if (context.state().isOpen(context.self())) {
+            // A slot that opened in this call must not reach the gate after its closing.
+            openings.flush();
+        } else {
+            // Once the own session has ended, other companions may serve the slots already.
+            openings.discard();
+        }
         Map<String, List<SlotVersion>> closing = new TreeMap<>();
         for (SlotEntry entry : entries.values()) {
             if (entry.open != null && !entry.closing) {
--- a/core/src/main/java/org/siskintiller/core/ownership/SlotOpenings.java
+++ b/core/src/main/java/org/siskintiller/core/ownership/SlotOpenings.java
@@ -52,6 +52,11 @@
         opening.clear();
     }
 
+    /** Drops the collected openings, of which the gate has not heard. */
+    void discard() {
+        opening.clear();
+    }
+
     void tick() {
         if (unreported.isEmpty() || context.nowNs() < nextReportNs) {
             return;
--- a/core/src/test/java/org/siskintiller/core/control/ClusterHarness.java
+++ b/core/src/test/java/org/siskintiller/core/control/ClusterHarness.java
@@ -207,6 +207,9 @@
             node.leaseNs = ((ControlAction.LeaseExtended) action).expiryNs();
         } else if (action instanceof ControlAction.OpenSlots) {
             ControlAction.OpenSlots open = (ControlAction.OpenSlots) action;
+            if (!node.plane.state().isOpen(node.id)) {
+                throw new AssertionError(node.id + " opens slots though its session has ended");
+            }
             open.slots().forEach(each -> node.gate.put(new SlotId(open.service(), each.slot()), each.fence()));
         } else if (action instanceof ControlAction.CloseSlots) {
             ControlAction.CloseSlots close = (ControlAction.CloseSlots) action;
--- a/core/src/test/java/org/siskintiller/core/control/FailureTest.java
+++ b/core/src/test/java/org/siskintiller/core/control/FailureTest.java
@@ -1,5 +1,6 @@
 package org.siskintiller.core.control;
 
+import java.util.List;
 import java.util.Map;
 
 import org.junit.jupiter.api.Nested;
@@ -101,6 +102,35 @@
             allServed(BOUND_MS);
         }
 
+        /**
+         * Guards against slots that open in the batch of records that also ends the own session. A suspended machine
+         * reads such a batch, and its clock says that the lease still runs.
+         */
+        @Test
+        void suspendedCompanionOpensNothingAfterItsEnd() {
+            start(5, true);
+            Node suspended = node(101);
+            long suspendedNs = cluster.now;
+            suspended.pausedUntil = suspendedNs + 60_000 * ClusterHarness.MS;
+            node(102).handle(new ControlEvent.StopRequested("operator"));
+            cluster.runUntil(
+                    "the session is ended",
+                    10_000,
+                    () -> !node(100).plane.state().isOpen(suspended.id));
+
+            var actions = suspended.plane.handle(new ControlEvent.RecordsRead(cluster.log, true), suspendedNs);
+
+            assertThat(suspended.plane.state().isOpen(suspended.id)).isFalse();
+            assertThat(actions.stream().filter(each -> each instanceof ControlAction.OpenSlots))
+                    .isEmpty();
+            List<SlotId> closed = actions.stream()
+                    .filter(each -> each instanceof ControlAction.CloseSlots)
+                    .map(each -> (ControlAction.CloseSlots) each)
+                    .flatMap(each -> each.slots().stream().map(slot -> new SlotId(each.service(), slot.slot())))
+                    .toList();
+            assertThat(closed).containsAtLeastElementsIn(suspended.gate.keySet());
+        }
+
         /** Guards against a session that is never ended because no slot names it. */
         @Test
         void sessionWithoutSlotsIsEnded() {
