Split hot keys in one round and hold heartbeat answers without news

A hot set of 60 to 200 keys lies with one holder; one range was moved at a time, in buckets of 32 keys and with a pause between, and the load of unreported buckets was unknown. A moved range waited for two heartbeats, 0.75 s each in the mean.

Change: KeyBalancer decides all moves of a round from the total rate and the busiest buckets of 4 keys, splits a hot set between several holders, and moves other keys away from a key that exceeds any holder. An answer to a heartbeat that has no news is held for 700 ms at most, so that a release or a grant reaches the backend server at once. OwnershipRandomTest runs with held answers and hot keys.

--- a/core/src/main/java/org/siskintiller/core/keyrange/HolderLoad.java
+++ b/core/src/main/java/org/siskintiller/core/keyrange/HolderLoad.java
@@ -6,13 +6,18 @@
  * Backend server of a keyed service as the planner sees it.
  *
  * @param capacity requests a second that it can serve
+ * @param rate requests a second that arrive for its keys
  */
-public record HolderLoad(KeyTable.Holder holder, double capacity) {
+public record HolderLoad(KeyTable.Holder holder, double capacity, double rate) {
 
     public HolderLoad {
         Objects.requireNonNull(holder, "holder");
-        if (!(capacity > 0)) {
-            throw new IllegalArgumentException("capacity must be positive");
+        if (!(capacity > 0) || !(rate >= 0)) {
+            throw new IllegalArgumentException("capacity must be positive and the rate not negative");
         }
     }
+
+    String instance() {
+        return holder.instance();
+    }
 }
--- a/core/src/main/java/org/siskintiller/core/keyrange/KeyPlanner.java
+++ b/core/src/main/java/org/siskintiller/core/keyrange/KeyPlanner.java
@@ -1,20 +1,12 @@
 package org.siskintiller.core.keyrange;
 
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
-/** Places free ranges and proposes moves away from overloaded holders. */
+/** Places free ranges. {@link KeyBalancer} moves ranges that have a holder. */
 public final class KeyPlanner {
-    /** Utilisation below which no range is moved for balance, since a move costs its keys about a second. */
-    private static final double BUSY_UTILISATION = 0.85;
-    /** Least difference of utilisation between source and target of a move, against moves back and forth. */
-    private static final double LEAST_GAP = 0.3;
-    /** A move takes at most this share of the gap, so that the target does not become the busiest. */
-    private static final double GAP_SHARE = 0.5;
-    /** Most keys of one move for balance: 1/32 of all keys. Hot sets are narrow, and each moved key is served late. */
+    /** Most keys of one free range that go to a single holder, and of one range moved to a newcomer: 1/32 of all. */
     private static final int MOST_MOVED_KEYS = 2_048;
 
     /** Splits free ranges between holders in proportion to their free capacity and returns the new table. */
@@ -37,30 +29,6 @@
         return next;
     }
 
-    /** Proposes the most useful move, if any is worth its cost. */
-    public Optional<KeyMove> balance(KeyTable table, List<HolderLoad> holders, KeyRates rates) {
-        if (holders.size() < 2) {
-            return Optional.empty();
-        }
-        Map<String, Double> loads = requestLoads(table, holders, rates);
-        Comparator<HolderLoad> byUtilisation =
-                Comparator.comparingDouble(holder -> loads.get(holder.holder().instance()) / holder.capacity());
-        HolderLoad busiest = holders.stream().max(byUtilisation).orElseThrow();
-        HolderLoad idlest = holders.stream().min(byUtilisation).orElseThrow();
-        double busyLoad = loads.get(busiest.holder().instance());
-        double idleLoad = loads.get(idlest.holder().instance());
-        double gap = busyLoad / busiest.capacity() - idleLoad / idlest.capacity();
-        boolean newcomer = table.keysHeldBy(idlest.holder().instance()) == 0;
-        if (!newcomer && (busyLoad / busiest.capacity() < BUSY_UTILISATION || gap < LEAST_GAP)) {
-            return Optional.empty();
-        }
-        // Moving x requests a second closes the gap by x / capacity at both ends.
-        double wanted = gap / (1 / busiest.capacity() + 1 / idlest.capacity());
-        int mostKeys = newcomer ? (KeyRange.MAX_KEY + 1) / holders.size() : MOST_MOVED_KEYS;
-        return narrowest(table.heldBy(busiest.holder().instance()), rates, wanted * GAP_SHARE, wanted, mostKeys)
-                .map(range -> new KeyMove(range, busiest.holder(), idlest.holder()));
-    }
-
     private KeyTable spread(
             KeyTable table,
             FreeRange free,
@@ -121,33 +89,6 @@
         return best;
     }
 
-    /** Returns the shortest run of whole buckets in one grant with a rate from least to most. */
-    private static Optional<KeyRange> narrowest(
-            List<KeyGrant> grants, KeyRates rates, double least, double most, int mostKeys) {
-        KeyRange best = null;
-        for (KeyGrant grant : grants) {
-            int first = (grant.range().from() + KeyRates.BUCKET_KEYS - 1) / KeyRates.BUCKET_KEYS;
-            int end = (grant.range().to() + 1) / KeyRates.BUCKET_KEYS;
-            double sum = 0;
-            int start = first;
-            for (int bucket = first; bucket < end; bucket++) {
-                sum += rates.rate(bucket);
-                while (start < bucket && (sum > most || sum - rates.rate(start) >= least)) {
-                    sum -= rates.rate(start);
-                    start++;
-                }
-                if (sum < least || sum > most) {
-                    continue;
-                }
-                KeyRange range = new KeyRange(start * KeyRates.BUCKET_KEYS, (bucket + 1) * KeyRates.BUCKET_KEYS - 1);
-                if (best == null || range.size() < best.size()) {
-                    best = range;
-                }
-            }
-        }
-        return best == null || best.size() > mostKeys ? Optional.empty() : Optional.of(best);
-    }
-
     private static Map<String, Double> loads(KeyTable table, List<HolderLoad> holders, KeyRates rates) {
         Map<String, Double> loads = new HashMap<>();
         for (HolderLoad holder : holders) {
@@ -160,18 +101,6 @@
         return loads;
     }
 
-    private static Map<String, Double> requestLoads(KeyTable table, List<HolderLoad> holders, KeyRates rates) {
-        Map<String, Double> loads = new HashMap<>();
-        for (HolderLoad holder : holders) {
-            double sum = 0;
-            for (KeyGrant grant : table.heldBy(holder.holder().instance())) {
-                sum += rates.of(grant.range());
-            }
-            loads.put(holder.holder().instance(), sum);
-        }
-        return loads;
-    }
-
     /** Weight of a range for placement: its rate, or its size while no rates are known. */
     private static double weight(KeyRange range, KeyRates rates) {
         double total = rates.total();
--- a/core/src/main/java/org/siskintiller/core/keyrange/KeyRates.java
+++ b/core/src/main/java/org/siskintiller/core/keyrange/KeyRates.java
@@ -1,11 +1,15 @@
 package org.siskintiller.core.keyrange;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 
 /** Request rate of each bucket of neighbouring keys, as a moving mean. */
 public final class KeyRates {
-    /** Keys of one bucket. A hot set spans a few hundred neighbouring keys, so it covers several buckets. */
-    public static final int BUCKET_KEYS = 32;
+    /** Keys of one bucket. A hot set may span 60 keys and exceed one backend server, so that it must be split. */
+    public static final int BUCKET_KEYS = 4;
 
     public static final int BUCKETS = (KeyRange.MAX_KEY + 1) / BUCKET_KEYS;
 
@@ -15,6 +19,7 @@
     private final double[] rates = new double[BUCKETS];
     private final int[] counts = new int[BUCKETS];
     private long intervalStartNs = Long.MIN_VALUE;
+    private double total;
 
     public void count(int key) {
         counts[key / BUCKET_KEYS]++;
@@ -24,8 +29,10 @@
     public void endInterval(long nowNs) {
         if (intervalStartNs != Long.MIN_VALUE && nowNs > intervalStartNs) {
             double seconds = (nowNs - intervalStartNs) / 1e9;
+            total = 0;
             for (int bucket = 0; bucket < BUCKETS; bucket++) {
                 rates[bucket] += NEWEST_WEIGHT * (counts[bucket] / seconds - rates[bucket]);
+                total += rates[bucket];
             }
         }
         Arrays.fill(counts, 0);
@@ -33,23 +40,16 @@
     }
 
     public void set(int bucket, double rate) {
+        total += rate - rates[bucket];
         rates[bucket] = rate;
     }
 
-    public void clear() {
-        Arrays.fill(rates, 0);
-    }
-
     public double rate(int bucket) {
         return rates[bucket];
     }
 
     public double total() {
-        double sum = 0;
-        for (double rate : rates) {
-            sum += rate;
-        }
-        return sum;
+        return total;
     }
 
     /** Rate of the buckets that begin in the range. */
@@ -61,4 +61,24 @@
         }
         return sum;
     }
+
+    /** Returns the total and the busiest buckets. */
+    public KeyLoad load(int mostBuckets, double leastRate) {
+        List<Integer> busy = new ArrayList<>();
+        for (int bucket = 0; bucket < BUCKETS; bucket++) {
+            if (rates[bucket] >= leastRate) {
+                busy.add(bucket);
+            }
+        }
+        busy.sort((a, b) -> Double.compare(rates[b], rates[a]));
+        Map<Integer, Double> busiest = new HashMap<>();
+        for (int bucket : busy.subList(0, Math.min(mostBuckets, busy.size()))) {
+            busiest.put(bucket, rates[bucket]);
+        }
+        return new KeyLoad(total, busiest);
+    }
+
+    static KeyRange keysOf(int firstBucket, int lastBucket) {
+        return new KeyRange(firstBucket * BUCKET_KEYS, (lastBucket + 1) * BUCKET_KEYS - 1);
+    }
 }
--- a/core/src/main/java/org/siskintiller/core/lease/Authority.java
+++ b/core/src/main/java/org/siskintiller/core/lease/Authority.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 
 import org.siskintiller.core.keyrange.HolderLoad;
+import org.siskintiller.core.keyrange.KeyBalancer;
 import org.siskintiller.core.keyrange.KeyGrant;
 import org.siskintiller.core.keyrange.KeyMove;
 import org.siskintiller.core.keyrange.KeyPlanner;
@@ -23,8 +24,10 @@
 public final class Authority {
     /** A table is first filled when all instances serve or this time has passed, so that they get equal shares. */
     private static final long FIRST_PLACEMENT_NS = 5_000_000_000L;
-    /** Pause between two moves for balance, in which the effect of the first becomes visible. */
+    /** Pause between two rounds of moves, in which the effect of the first becomes visible in the rates. */
     private static final long MOVE_PAUSE_NS = 1_200_000_000L;
+    /** Interval in which the balance of a service is judged. Holders report about as often. */
+    private static final long BALANCE_INTERVAL_NS = 200_000_000L;
     /** A move that its holder has not completed by then is given up. */
     private static final long MOVE_TIMEOUT_NS = 5_000_000_000L;
 
@@ -32,8 +35,8 @@
     private final long electedNs;
     private final KeyPlanner planner = new KeyPlanner();
     private final Map<String, HolderState> holders = new HashMap<>();
-    private final Map<String, Move> moves = new HashMap<>();
-    private final Map<String, Long> lastMoveNs = new HashMap<>();
+    private final Map<String, Round> rounds = new HashMap<>();
+    private final Map<String, Long> nextBalanceNs = new HashMap<>();
     private final Map<String, Pending> pending = new HashMap<>();
     private long unknownHoldersOverNs;
 
@@ -76,11 +79,13 @@
         HolderState state = holders.computeIfAbsent(report.instance(), name -> new HolderState());
         state.report = report;
         state.leaseOverNs = LeaseTiming.leaseOver(nowNs);
-        Move move = moves.get(report.service());
-        if (move == null || !move.plan.from().instance().equals(report.instance())) {
-            return Optional.of(List.of());
+        List<KeyRange> release = new ArrayList<>();
+        for (KeyMove move : moves(report.service())) {
+            if (move.from().instance().equals(report.instance())) {
+                release.add(move.range());
+            }
         }
-        return Optional.of(List.of(move.plan.range()));
+        return Optional.of(release);
     }
 
     /** Ends the wait for a proposed table, because it was read back or can no longer be appended. */
@@ -104,37 +109,48 @@
         if (table.grants().isEmpty() && serving.size() < instances && nowNs - electedNs < FIRST_PLACEMENT_NS) {
             return Optional.empty();
         }
-        KeyRates rates = rates(table.service(), nowNs);
         List<KeyPlanner.FreeRange> free = free(table, nowNs);
         if (!free.isEmpty()) {
             pending.put(table.service(), new Pending(lapsedHolders(table, nowNs)));
-            return Optional.of(planner.place(table, free, serving, rates, term));
+            return Optional.of(planner.place(table, free, serving, rates(table, nowNs), term));
         }
-        planMove(table, serving, rates, nowNs);
+        balance(table, serving, nowNs);
         return Optional.empty();
     }
 
-    /** Range that is being moved in a service, for the log. */
-    public Optional<KeyMove> move(String service) {
-        return Optional.ofNullable(moves.get(service)).map(move -> move.plan);
+    /** Moves of a service that are not complete. */
+    public List<KeyMove> moves(String service) {
+        Round round = rounds.get(service);
+        return round == null ? List.of() : round.moves;
     }
 
-    private void planMove(KeyTable table, List<HolderLoad> serving, KeyRates rates, long nowNs) {
-        Move move = moves.get(table.service());
-        if (move != null) {
-            boolean done = table.grantOf(move.plan.range().from())
-                    .filter(grant -> grant.holder().equals(move.plan.from().instance()))
-                    .isEmpty();
-            if (!done && nowNs - move.sinceNs < MOVE_TIMEOUT_NS) {
+    private void balance(KeyTable table, List<HolderLoad> serving, long nowNs) {
+        String service = table.service();
+        Round round = rounds.get(service);
+        if (round != null) {
+            List<KeyMove> open = new ArrayList<>(round.moves);
+            open.removeIf(move -> isDone(move, table));
+            if (!open.isEmpty() && nowNs - round.sinceNs < MOVE_TIMEOUT_NS) {
+                rounds.put(service, new Round(open, round.sinceNs));
                 return;
             }
-            moves.remove(table.service());
-            lastMoveNs.put(table.service(), nowNs);
+            rounds.remove(service);
+            nextBalanceNs.put(service, nowNs + MOVE_PAUSE_NS);
         }
-        if (nowNs - lastMoveNs.getOrDefault(table.service(), electedNs) < MOVE_PAUSE_NS) {
+        if (nowNs < nextBalanceNs.getOrDefault(service, electedNs + MOVE_PAUSE_NS)) {
             return;
         }
-        planner.balance(table, serving, rates).ifPresent(plan -> moves.put(table.service(), new Move(plan, nowNs)));
+        nextBalanceNs.put(service, nowNs + BALANCE_INTERVAL_NS);
+        List<KeyMove> moves = KeyBalancer.balance(table, serving, rates(table, nowNs));
+        if (!moves.isEmpty()) {
+            rounds.put(service, new Round(moves, nowNs));
+        }
+    }
+
+    private static boolean isDone(KeyMove move, KeyTable table) {
+        return table.grantOf(move.range().from())
+                .filter(grant -> grant.holder().equals(move.from().instance()))
+                .isEmpty();
     }
 
     private Set<String> lapsedHolders(KeyTable table, long nowNs) {
@@ -179,9 +195,10 @@
 
     /** A moved range goes to its target; one whose backend server restarted stays with the instance. */
     private String preferred(KeyTable table, KeyGrant grant, KeyRange part) {
-        Move move = moves.get(table.service());
-        if (move != null && move.plan.range().overlaps(part)) {
-            return move.plan.to().instance();
+        for (KeyMove move : moves(table.service())) {
+            if (move.range().overlaps(part)) {
+                return move.to().instance();
+            }
         }
         return grant.holder();
     }
@@ -192,18 +209,27 @@
             HolderReport report = state.report;
             if (report.service().equals(service) && report.serving() && nowNs < state.leaseOverNs) {
                 KeyTable.Holder holder = new KeyTable.Holder(instance, report.run());
-                serving.add(new HolderLoad(holder, Math.max(1, report.capacity())));
+                serving.add(new HolderLoad(
+                        holder, Math.max(1, report.capacity()), report.load().total()));
             }
         });
         serving.sort((a, b) -> a.holder().instance().compareTo(b.holder().instance()));
         return serving;
     }
 
-    private KeyRates rates(String service, long nowNs) {
+    /** Rates of the busiest buckets, each as its holder reports it: one that gave it away still remembers its rate. */
+    private KeyRates rates(KeyTable table, long nowNs) {
         KeyRates rates = new KeyRates();
         holders.forEach((instance, state) -> {
-            if (state.report.service().equals(service) && nowNs < state.leaseOverNs) {
-                state.report.rates().forEach((bucket, rate) -> rates.set(bucket, rates.rate(bucket) + rate));
+            if (state.report.service().equals(table.service()) && nowNs < state.leaseOverNs) {
+                state.report.load().buckets().forEach((bucket, rate) -> {
+                    boolean held = table.grantOf(bucket * KeyRates.BUCKET_KEYS)
+                            .filter(grant -> grant.holder().equals(instance))
+                            .isPresent();
+                    if (held) {
+                        rates.set(bucket, rate);
+                    }
+                });
             }
         });
         return rates;
@@ -217,5 +243,6 @@
     /** Table on its way to the store, with the holders that lose ranges because their lease is over. */
     private record Pending(Set<String> lapsed) {}
 
-    private record Move(KeyMove plan, long sinceNs) {}
+    /** Moves that were decided together. */
+    private record Round(List<KeyMove> moves, long sinceNs) {}
 }
--- a/core/src/main/java/org/siskintiller/core/lease/HolderReport.java
+++ b/core/src/main/java/org/siskintiller/core/lease/HolderReport.java
@@ -1,9 +1,9 @@
 package org.siskintiller.core.lease;
 
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 
+import org.siskintiller.core.keyrange.KeyLoad;
 import org.siskintiller.core.keyrange.KeyRange;
 
 /**
@@ -14,7 +14,7 @@
  * @param capacity requests a second that the backend server can serve
  * @param lastFence highest fence of the service that the holder has read
  * @param released ranges that neither the holder nor its backend server holds any more
- * @param rates requests a second by bucket of keys, busiest only
+ * @param load rates of requests for its keys
  */
 public record HolderReport(
         String instance,
@@ -24,13 +24,13 @@
         double capacity,
         long lastFence,
         List<Released> released,
-        Map<Integer, Double> rates) {
+        KeyLoad load) {
 
     public HolderReport {
         Objects.requireNonNull(instance, "instance");
         Objects.requireNonNull(service, "service");
         released = List.copyOf(released);
-        rates = Map.copyOf(rates);
+        Objects.requireNonNull(load, "load");
     }
 
     /** A range under the fence of its grant, with the token for the next holder or an empty one. */
--- a/core/src/main/java/org/siskintiller/core/lease/KeyHolder.java
+++ b/core/src/main/java/org/siskintiller/core/lease/KeyHolder.java
@@ -22,6 +22,8 @@
     private long run;
     private long sequence = Long.MIN_VALUE;
     private long beatNs;
+    /** Ranges that the backend server said it holds. */
+    private List<KeyRange> reportedHeld = List.of();
     /** Grants end on the backend server's side not before this time, however they were received. */
     private long grantsVoidNs;
     /** Grants are surely in force until this time. */
@@ -79,14 +81,20 @@
 
     /** Processes a heartbeat and returns what its answer grants. A heartbeat that arrives late grants nothing. */
     public BeatAnswer beat(BackendBeat beat, long nowNs) {
+        return accept(beat, nowNs) ? answer(nowNs) : BeatAnswer.RENEWS_NOTHING;
+    }
+
+    /** Processes a heartbeat without answering it. Returns false for one that arrives late and must grant nothing. */
+    public boolean accept(BackendBeat beat, long nowNs) {
         if (beat.run() < run || beat.run() == run && beat.sequence() <= sequence) {
-            return BeatAnswer.RENEWS_NOTHING;
+            return false;
         }
         if (beat.run() != run) {
             startRun(beat.run());
         }
         sequence = beat.sequence();
         beatNs = nowNs;
+        reportedHeld = beat.held();
         handovers.addAll(beat.handovers());
         if (releaseAll) {
             for (KeyGrant grant : assigned) {
@@ -94,10 +102,26 @@
             }
         }
         completeReleases(beat);
-        for (Releasing each : releasing) {
-            each.omitted = true;
+        return true;
+    }
+
+    /**
+     * Whether an answer would tell the backend server nothing but a later end of its hold, which lasts for the given
+     * time anyway. Such an answer may wait, so that the next change of keys reaches the backend server at once.
+     */
+    public boolean answerMayWait(long lastsNs, long nowNs) {
+        if (releaseAll || !releasing.isEmpty()) {
+            return false;
         }
-        return answer(nowNs);
+        List<KeyGrant> due = dueGrants();
+        if (due.isEmpty()) {
+            return reportedHeld.isEmpty();
+        }
+        boolean told = due.equals(granted)
+                && due.stream().allMatch(grant -> reportedHeld.stream()
+                        .anyMatch(held -> held.from() <= grant.range().from()
+                                && grant.range().to() <= held.to()));
+        return told && grantsUntilNs - nowNs > lastsNs;
     }
 
     /** Returns what an answer that is sent now grants to the backend server whose heartbeat came last. */
@@ -108,13 +132,10 @@
         if (leftNs < LeaseTiming.LEAST_HOLD_NS) {
             return BeatAnswer.RENEWS_NOTHING;
         }
-        List<KeyGrant> grants = new ArrayList<>();
-        for (KeyGrant grant : assigned) {
-            if (grant.run() == run) {
-                grants.add(grant);
-            }
+        for (Releasing each : releasing) {
+            each.omitted = true;
         }
-        granted = withoutReleased(grants);
+        granted = dueGrants();
         long holdNs = holdMs * 1_000_000;
         long voidNs = nowNs + Math.round(holdNs * drift) + LeaseTiming.MARGIN_NS;
         grantsVoidNs = grantsVoidNs == Long.MAX_VALUE ? voidNs : Math.max(grantsVoidNs, voidNs);
@@ -123,6 +144,17 @@
         return new BeatAnswer(granted, holdMs);
     }
 
+    /** Grants of the current run, without what is being released. */
+    private List<KeyGrant> dueGrants() {
+        List<KeyGrant> grants = new ArrayList<>();
+        for (KeyGrant grant : assigned) {
+            if (grant.run() == run) {
+                grants.add(grant);
+            }
+        }
+        return withoutReleased(grants);
+    }
+
     /** Reports ranges as released once a silent backend server cannot hold them any more. */
     public void tick(long nowNs) {
         if (grantsVoidNs == Long.MAX_VALUE && assigned.stream().anyMatch(this::isUnreleased)) {
@@ -180,6 +212,7 @@
     private void startRun(long newRun) {
         run = newRun;
         granted = List.of();
+        reportedHeld = List.of();
         releasing.clear();
         handovers.clear();
         releaseAll = false;
--- /dev/null
+++ b/core/src/test/java/org/siskintiller/core/keyrange/KeyBalancerTest.java
@@ -0,0 +1,152 @@
+package org.siskintiller.core.keyrange;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class KeyBalancerTest {
+    private static final double CAPACITY = 100;
+    private static final int HOLDERS = 6;
+    /** First bucket of the hot keys, which belong to the first holder. */
+    private static final int HOT_BUCKET = 50;
+
+    private final KeyRates rates = new KeyRates();
+
+    @Nested
+    class HotKeys {
+        /** Load pattern: 200 neighbouring keys with three times the capacity of a holder. */
+        @Test
+        void areSplitBetweenSeveralHoldersInOneRound() {
+            hotBuckets(50, 6);
+
+            List<KeyMove> moves = balance(HOLDERS, 310);
+
+            assertThat(utilisationAfter(moves, 310)).isAtMost(0.9);
+            assertThat(moves.stream().map(KeyMove::to).distinct().count()).isAtLeast(3);
+            assertThat(movedKeys(moves)).isAtMost(50 * KeyRates.BUCKET_KEYS);
+        }
+
+        /** Load pattern: 60 keys with twice the capacity. Guards against buckets too coarse to be split. */
+        @Test
+        void ofFewBucketsAreSplitToo() {
+            hotBuckets(15, 13);
+
+            List<KeyMove> moves = balance(HOLDERS, 200);
+
+            assertThat(utilisationAfter(moves, 200)).isAtMost(0.9);
+        }
+
+        /** Load pattern: a hot set with gaps. Guards against a row of the table for each of its parts. */
+        @Test
+        void withGapsMoveInFewRanges() {
+            for (int i = 0; i < 40; i += 2) {
+                rates.set(HOT_BUCKET + i, 10);
+            }
+
+            List<KeyMove> moves = balance(HOLDERS, 220);
+
+            assertThat(moves.size()).isAtMost(4);
+            assertThat(utilisationAfter(moves, 220)).isAtMost(0.9);
+        }
+
+        /** Load pattern: one key above the capacity of any holder. Its neighbours' requests must not suffer with it. */
+        @Test
+        void thatExceedAnyHolderMakeItGiveOtherKeysAway() {
+            rates.set(HOT_BUCKET, 150);
+
+            List<KeyMove> moves = balance(HOLDERS, 190);
+
+            assertThat(moves).isNotEmpty();
+            KeyRange hot = KeyRates.keysOf(HOT_BUCKET, HOT_BUCKET);
+            for (KeyMove move : moves) {
+                assertThat(move.from().instance()).isEqualTo("holder-0");
+                assertThat(move.range().overlaps(hot)).isFalse();
+            }
+        }
+    }
+
+    @Nested
+    class CalmLoad {
+        /** Guards against moves that cost served requests where nobody is overloaded. */
+        @Test
+        void isLeftAlone() {
+            hotBuckets(10, 4);
+
+            assertThat(balance(HOLDERS, 70)).isEmpty();
+        }
+
+        /** Guards against moves where all holders are equally overloaded. */
+        @Test
+        void isNotMovedBetweenFullHolders() {
+            List<HolderLoad> full = new ArrayList<>();
+            for (int i = 0; i < HOLDERS; i++) {
+                full.add(new HolderLoad(new KeyTable.Holder("holder-" + i, 1), CAPACITY, 120));
+            }
+
+            assertThat(KeyBalancer.balance(table(HOLDERS), full, rates)).isEmpty();
+        }
+    }
+
+    @Nested
+    class Newcomers {
+        /** Guards against a new backend server that never gets keys. */
+        @Test
+        void getKeys() {
+            List<KeyMove> moves = KeyBalancer.balance(table(3), holders(4, 40), rates);
+
+            assertThat(moves).hasSize(1);
+            assertThat(moves.get(0).to().instance()).isEqualTo("holder-3");
+            assertThat(moves.get(0).range().size()).isAtLeast(65_536 / 8);
+        }
+    }
+
+    private void hotBuckets(int count, double rate) {
+        for (int i = 0; i < count; i++) {
+            rates.set(HOT_BUCKET + i, rate);
+        }
+    }
+
+    /** Balances holders of which the first has the given load, the others a fifth of their capacity. */
+    private List<KeyMove> balance(int count, double load) {
+        return KeyBalancer.balance(table(count), holders(count, load), rates);
+    }
+
+    private static List<HolderLoad> holders(int count, double firstLoad) {
+        List<HolderLoad> holders = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            KeyTable.Holder holder = new KeyTable.Holder("holder-" + i, 1);
+            holders.add(new HolderLoad(holder, CAPACITY, i == 0 ? firstLoad : 0.2 * CAPACITY));
+        }
+        return holders;
+    }
+
+    private static KeyTable table(int count) {
+        KeyTable table = KeyTable.empty("service");
+        int size = (KeyRange.MAX_KEY + 1) / count;
+        for (int i = 0; i < count; i++) {
+            int to = i == count - 1 ? KeyRange.MAX_KEY : (i + 1) * size - 1;
+            table = table.assign(new KeyRange(i * size, to), new KeyTable.Holder("holder-" + i, 1), "", 1);
+        }
+        return table;
+    }
+
+    private double utilisationAfter(List<KeyMove> moves, double firstLoad) {
+        Map<String, Double> loads = new HashMap<>();
+        holders(HOLDERS, firstLoad).forEach(each -> loads.put(each.instance(), each.rate()));
+        for (KeyMove move : moves) {
+            loads.merge(move.from().instance(), -rates.of(move.range()), Double::sum);
+            loads.merge(move.to().instance(), rates.of(move.range()), Double::sum);
+        }
+        return loads.values().stream().mapToDouble(Double::doubleValue).max().orElseThrow() / CAPACITY;
+    }
+
+    private static int movedKeys(List<KeyMove> moves) {
+        return moves.stream().mapToInt(move -> move.range().size()).sum();
+    }
+}
--- a/core/src/test/java/org/siskintiller/core/keyrange/KeyPlannerTest.java
+++ b/core/src/test/java/org/siskintiller/core/keyrange/KeyPlannerTest.java
@@ -50,47 +50,6 @@
         }
     }
 
-    @Nested
-    class Balancing {
-        /** Load pattern: a hot set of neighbouring keys at one holder. Guards against moving most of its keys. */
-        @Test
-        void movesANarrowPartOfTheHotSet() {
-            List<HolderLoad> holders = holders(4);
-            KeyTable table = place(KeyTable.empty("service"), holders);
-            spreadRate(20);
-            for (int bucket = 10; bucket < 17; bucket++) {
-                rates.set(bucket, 12);
-            }
-
-            KeyMove move = planner.balance(table, holders, rates).orElseThrow();
-
-            assertThat(move.from().instance()).isEqualTo("holder-0");
-            assertThat(move.range().size()).isAtMost(7 * KeyRates.BUCKET_KEYS);
-            assertThat(rates.of(move.range())).isAtLeast(12);
-        }
-
-        /** Guards against moves that cost served requests where nobody is overloaded. */
-        @Test
-        void leavesAModerateLoadAlone() {
-            List<HolderLoad> holders = holders(4);
-            KeyTable table = place(KeyTable.empty("service"), holders);
-            spreadRate(40);
-
-            assertThat(planner.balance(table, holders, rates)).isEmpty();
-        }
-
-        /** Guards against a new backend server that never gets keys. */
-        @Test
-        void givesKeysToANewcomer() {
-            KeyTable table = place(KeyTable.empty("service"), holders(3));
-            spreadRate(40);
-
-            KeyMove move = planner.balance(table, holders(4), rates).orElseThrow();
-
-            assertThat(move.to().instance()).isEqualTo("holder-3");
-        }
-    }
-
     private KeyTable place(KeyTable table, List<HolderLoad> holders) {
         List<KeyPlanner.FreeRange> free = new ArrayList<>();
         for (KeyRange range : table.unassigned()) {
@@ -99,16 +58,10 @@
         return planner.place(table, free, holders, rates, 1);
     }
 
-    private void spreadRate(double total) {
-        for (int bucket = 0; bucket < KeyRates.BUCKETS; bucket++) {
-            rates.set(bucket, total / KeyRates.BUCKETS);
-        }
-    }
-
     private static List<HolderLoad> holders(int count) {
         List<HolderLoad> holders = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            holders.add(new HolderLoad(new KeyTable.Holder("holder-" + i, 1), CAPACITY));
+            holders.add(new HolderLoad(new KeyTable.Holder("holder-" + i, 1), CAPACITY, 0));
         }
         return holders;
     }
--- a/core/src/test/java/org/siskintiller/core/lease/AuthorityTest.java
+++ b/core/src/test/java/org/siskintiller/core/lease/AuthorityTest.java
@@ -1,11 +1,11 @@
 package org.siskintiller.core.lease;
 
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.siskintiller.core.keyrange.KeyLoad;
 import org.siskintiller.core.keyrange.KeyRange;
 import org.siskintiller.core.keyrange.KeyTable;
 
@@ -77,7 +77,7 @@
         /** Guards against a holder that grants rows of a table that is no longer in force. */
         @Test
         void renewsNothingForAHolderWithAnOldTable() {
-            HolderReport outdated = new HolderReport("a", SERVICE, 1, true, 50, 0, List.of(), Map.of());
+            HolderReport outdated = new HolderReport("a", SERVICE, 1, true, 50, 0, List.of(), KeyLoad.NONE);
 
             assertThat(authority.renew(outdated, table, 0)).isEmpty();
         }
@@ -108,7 +108,7 @@
         void passesTheHandoverOn() {
             HolderReport.Released released = new HolderReport.Released(new KeyRange(0, 99), table.lastFence(), "token");
             HolderReport report =
-                    new HolderReport("a", SERVICE, 1, false, 50, table.lastFence(), List.of(released), Map.of());
+                    new HolderReport("a", SERVICE, 1, false, 50, table.lastFence(), List.of(released), KeyLoad.NONE);
             authority.renew(report, table, 0);
             renew("b", table, 0);
 
@@ -122,6 +122,8 @@
 
     private Optional<List<KeyRange>> renew(String instance, KeyTable known, long nowNs) {
         return authority.renew(
-                new HolderReport(instance, SERVICE, 1, true, 50, known.lastFence(), List.of(), Map.of()), known, nowNs);
+                new HolderReport(instance, SERVICE, 1, true, 50, known.lastFence(), List.of(), KeyLoad.NONE),
+                known,
+                nowNs);
     }
 }
--- a/core/src/test/java/org/siskintiller/core/lease/OwnershipRandomTest.java
+++ b/core/src/test/java/org/siskintiller/core/lease/OwnershipRandomTest.java
@@ -11,7 +11,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.siskintiller.core.keyrange.KeyGrant;
+import org.siskintiller.core.keyrange.KeyLoad;
 import org.siskintiller.core.keyrange.KeyRange;
+import org.siskintiller.core.keyrange.KeyRates;
 import org.siskintiller.core.keyrange.KeyTable;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -184,6 +186,8 @@
             private List<KeyGrant> backendGrants = List.of();
             private List<BackendBeat.Handover> handovers = new ArrayList<>();
             private long backendHoldUntilNs;
+            private long beatSentNs;
+            private long answerDueNs = Long.MAX_VALUE;
 
             private Machine(String name) {
                 this.name = name;
@@ -222,6 +226,9 @@
                     nextBeatNs = nowNs + (800 + random.nextInt(150)) * MS;
                     beat(nowNs);
                 }
+                if (nowNs >= backendDownUntilNs && !silent) {
+                    answer(nowNs);
+                }
             }
 
             private void injectFaults(long nowNs) {
@@ -234,6 +241,7 @@
                     }
                     case 1 -> {
                         holder = new KeyHolder(10_000, nowNs);
+                        answerDueNs = Long.MAX_VALUE;
                     }
                     case 2 -> {
                         backendDownUntilNs = nowNs + random.nextInt(5_000) * MS;
@@ -241,6 +249,7 @@
                         handovers = new ArrayList<>();
                         run++;
                         sequence = 0;
+                        answerDueNs = Long.MAX_VALUE;
                     }
                     case 3 -> {
                         backendSilentUntilNs = nowNs + random.nextInt(8_000) * MS;
@@ -260,7 +269,7 @@
                         50,
                         known.lastFence(),
                         holder.released(),
-                        Map.of());
+                        load(nowNs));
                 long sentNs = nowNs - random.nextInt(200) * MS;
                 followedTerm = Math.max(followedTerm, from.term());
                 from.renew(report, committed, nowNs).ifPresent(release -> {
@@ -269,26 +278,46 @@
                 });
             }
 
+            /** Load pattern: two hot buckets of neighbouring keys that change every five seconds. */
+            private KeyLoad load(long nowNs) {
+                int bucket = (int) (nowNs / (5_000 * MS)) * 977 % (KeyRates.BUCKETS - 1);
+                boolean hot = known.grantOf(bucket * KeyRates.BUCKET_KEYS)
+                        .filter(grant -> grant.holder().equals(name))
+                        .isPresent();
+                return hot ? new KeyLoad(90, Map.of(bucket, 30.0, bucket + 1, 30.0)) : new KeyLoad(10, Map.of());
+            }
+
+            /** Sends a heartbeat, which is answered at once or when there is news, after 700 ms at the latest. */
             private void beat(long nowNs) {
-                long sentNs = nowNs - random.nextInt(50) * MS;
+                beatSentNs = nowNs - random.nextInt(50) * MS;
                 List<KeyRange> held = new ArrayList<>();
                 if (nowNs < backendHoldUntilNs) {
                     backendGrants.forEach(grant -> held.add(grant.range()));
                 }
-                BeatAnswer answer = holder.beat(new BackendBeat(run, ++sequence, held, handovers), nowNs);
+                BackendBeat beat = new BackendBeat(run, ++sequence, held, handovers);
                 handovers = new ArrayList<>();
+                answerDueNs = holder.accept(beat, nowNs) ? nowNs + 700 * MS : Long.MAX_VALUE;
+            }
+
+            private void answer(long nowNs) {
+                if (answerDueNs == Long.MAX_VALUE || nowNs < answerDueNs && holder.answerMayWait(1_500 * MS, nowNs)) {
+                    return;
+                }
+                answerDueNs = Long.MAX_VALUE;
+                BeatAnswer answer = holder.answer(nowNs);
                 if (answer.holdMs() == 0) {
                     return;
                 }
-                for (KeyRange range : held) {
+                boolean holding = nowNs < backendHoldUntilNs;
+                for (KeyGrant grant : holding ? backendGrants : List.<KeyGrant>of()) {
                     boolean kept = answer.grants().stream()
-                            .anyMatch(grant -> grant.range().overlaps(range));
+                            .anyMatch(next -> next.range().overlaps(grant.range()));
                     if (!kept) {
-                        handovers.add(new BackendBeat.Handover(range, "token-" + sequence));
+                        handovers.add(new BackendBeat.Handover(grant.range(), "token-" + sequence));
                     }
                 }
                 backendGrants = answer.grants();
-                backendHoldUntilNs = sentNs + Math.round(answer.holdMs() * MS * (1 + clockDrift));
+                backendHoldUntilNs = beatSentNs + Math.round(answer.holdMs() * MS * (1 + clockDrift));
                 nextBeatNs = handovers.isEmpty() ? nextBeatNs : nowNs + 100 * MS;
             }
         }
--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -163,7 +163,7 @@
     public SentRequest send(ForwardedRequest request, ResponseListener listener) {
         long nowNs = System.nanoTime();
         GateCall call = new GateCall(this, request, listener, QueuePlace.of(request, nowNs), sequence++, nowNs);
-        if (request.key() != ForwardedRequest.NO_KEY) {
+        if (request.key() != ForwardedRequest.NO_KEY && keys.holder().isAssigned(request.key())) {
             keys.rates().count(request.key());
         }
         RefusalReason reason = obstacle(request, false, nowNs);
--- a/router/src/main/java/org/siskintiller/router/control/AuthorityDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/AuthorityDriver.java
@@ -262,10 +262,12 @@
         if (!feed.reachable() || !isKeyed(service)) {
             return;
         }
-        Optional<KeyMove> moveBefore = authority.move(service);
+        List<KeyMove> movesBefore = authority.moves(service);
         KeyTable table = state.table(service).orElse(KeyTable.empty(service));
         Optional<KeyTable> next = authority.plan(table, instancesOf(service), nowNs);
-        authority.move(service).filter(move -> moveBefore.isEmpty()).ifPresent(this::logMove);
+        if (movesBefore.isEmpty()) {
+            authority.moves(service).forEach(this::logMove);
+        }
         next.ifPresent(proposed -> {
             EventLog.log(
                     LogEvent.KEYS_PROPOSED,
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -1,6 +1,5 @@
 package org.siskintiller.router.control;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +9,7 @@
 
 import io.netty.channel.EventLoop;
 import org.siskintiller.core.gate.Suspicion;
+import org.siskintiller.core.keyrange.KeyLoad;
 import org.siskintiller.core.keyrange.KeyRates;
 import org.siskintiller.core.keyrange.KeyTable;
 import org.siskintiller.core.lease.BackendBeat;
@@ -42,8 +42,10 @@
     private static final long STATUS_INTERVAL_NS = 500_000_000L;
     /** Interval in which the request rates of keys are computed. */
     private static final long RATES_INTERVAL_NS = 500_000_000L;
-    /** Buckets of keys that a renewal reports. The hot set covers a few; the rest is told as an even spread. */
+    /** Buckets of keys that a renewal reports. A hot set of 200 keys covers 51. */
     private static final int REPORTED_BUCKETS = 96;
+    /** Share of a backend server's capacity from which a bucket is reported: less is not worth a move of its own. */
+    private static final double REPORTED_SHARE = 0.01;
     /** A companion whose last contact with the store is older gets records and configuration from this one. */
     private static final long SHARE_STORE_AGE_MS = 1_000;
     /** Difference between the monotonic clock and the time of day that tells a pause of the machine. */
@@ -56,8 +58,10 @@
     private static final long READ_WAIT_MS = 8_000;
     /** The age of the authority's last contact is at most twice this. */
     private static final long AUTHORITY_READ_WAIT_MS = 1_000;
-    /** Longest delay of the first answer of a run. A backend server waits 1 s for it. */
-    private static final long DEFERRED_ANSWER_MS = 450;
+    /** Longest delay of an answer to a heartbeat. A backend server waits 1 s for it. */
+    private static final long HELD_ANSWER_MS = 700;
+    /** Grants of a backend server last this long when an answer is held: the delay and half an interval of heartbeats. */
+    private static final long GRANTS_LAST_NS = 1_500_000_000L;
     /** Requests a second that one slot serves while nothing was measured. */
     private static final double UNKNOWN_RATE_OF_SLOT = 5;
 
@@ -87,8 +91,8 @@
     private long ratesNs;
     private long memberAppendNs = Long.MIN_VALUE / 2;
     private long clockOffsetMs;
-    /** Answer to a heartbeat that waits for an assignment of keys. */
-    private Consumer<BeatAnswer> deferredAnswer;
+    /** Answer to the newest heartbeat, which waits for a change of keys. */
+    private Consumer<BeatAnswer> heldAnswer;
 
     private boolean caughtUp;
     private boolean stopping;
@@ -130,6 +134,7 @@
     /** Gives up the authority and lets other companions send nothing more here. */
     public void stop() {
         stopping = true;
+        answerHeld();
         authority.stop(System.nanoTime());
         publishStatus();
     }
@@ -140,45 +145,63 @@
     }
 
     /**
-     * Takes the keys of a heartbeat and answers with what is granted. The first heartbeat of a run is answered a little
-     * later when its keys are about to be assigned, since the next one comes only after a whole interval.
+     * Takes the keys of a heartbeat and answers with what is granted. An answer without news is held, so that the next
+     * change of keys reaches the backend server at once and not with its next heartbeat.
      */
     public void beat(BackendBeat beat, Consumer<BeatAnswer> answer) {
         long nowNs = System.nanoTime();
         checkPause();
-        boolean firstOfRun = beat.run() != holder.run();
+        answerHeld(BeatAnswer.RENEWS_NOTHING);
         int releasedBefore = holder.released().size();
         if (presence.leaving()) {
             holder.releaseAll();
         }
-        BeatAnswer granted = holder.beat(beat, nowNs);
+        if (!holder.accept(beat, nowNs)) {
+            answer.accept(BeatAnswer.RENEWS_NOTHING);
+            return;
+        }
         if (holder.released().size() != releasedBefore) {
             EventLog.log(LogEvent.KEYS_RELEASED, "ranges", String.valueOf(holder.released()));
             renew(nowNs);
         }
-        if (firstOfRun
-                && granted.grants().isEmpty()
-                && authority.isKeyed(settings.self().service())) {
-            if (deferredAnswer != null) {
-                deferredAnswer.accept(BeatAnswer.RENEWS_NOTHING);
-            }
-            deferredAnswer = answer;
-            loop.schedule(this::answerDeferred, DEFERRED_ANSWER_MS, TimeUnit.MILLISECONDS);
+        heldAnswer = answer;
+        boolean keyed = authority.isKeyed(settings.self().service());
+        boolean nothingToTell = !holder.hasLease(nowNs) || holder.answerMayWait(GRANTS_LAST_NS, nowNs);
+        if (!keyed || stopping || presence.leaving() || !nothingToTell) {
+            answerHeld();
             return;
         }
-        gate.keysChanged();
-        answer.accept(granted);
+        loop.schedule(() -> answerIfHeld(answer), HELD_ANSWER_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void answerDeferred() {
-        if (deferredAnswer == null) {
-            return;
+    /** Tells the backend server of a change of its keys. */
+    private void answerNews() {
+        long nowNs = System.nanoTime();
+        if (holder.hasLease(nowNs) && !holder.answerMayWait(0, nowNs)) {
+            answerHeld();
+        }
+    }
+
+    private void answerIfHeld(Consumer<BeatAnswer> answer) {
+        if (heldAnswer == answer) {
+            answerHeld();
+        }
+    }
+
+    /** Answers the newest heartbeat now, if its answer is held. */
+    private void answerHeld() {
+        if (heldAnswer != null) {
+            answerHeld(holder.answer(System.nanoTime()));
+            gate.keysChanged();
+        }
+    }
+
+    private void answerHeld(BeatAnswer granted) {
+        Consumer<BeatAnswer> answer = heldAnswer;
+        heldAnswer = null;
+        if (answer != null) {
+            answer.accept(granted);
         }
-        Consumer<BeatAnswer> answer = deferredAnswer;
-        deferredAnswer = null;
-        BeatAnswer granted = holder.answer(System.nanoTime());
-        gate.keysChanged();
-        answer.accept(granted);
     }
 
     // ---- Records of the control topic ----
@@ -227,9 +250,7 @@
                 table.grants().size());
         if (service.equals(settings.self().service())) {
             holder.assign(table.heldBy(self));
-            if (!table.heldBy(self).isEmpty()) {
-                answerDeferred();
-            }
+            answerNews();
             gate.keysChanged();
         }
         router.backendsChanged();
@@ -289,6 +310,7 @@
             holder.renewed(sentNs, reply.leaseMs());
         }
         holder.release(reply.release());
+        answerNews();
     }
 
     @Override
@@ -442,22 +464,7 @@
                 capacity,
                 state.table(service).map(KeyTable::lastFence).orElse(0L),
                 holder.released(),
-                keyed ? busiestBuckets() : Map.of());
-    }
-
-    private Map<Integer, Double> busiestBuckets() {
-        List<Integer> buckets = new ArrayList<>();
-        for (int bucket = 0; bucket < KeyRates.BUCKETS; bucket++) {
-            if (ownRates.rate(bucket) > 0) {
-                buckets.add(bucket);
-            }
-        }
-        buckets.sort((a, b) -> Double.compare(ownRates.rate(b), ownRates.rate(a)));
-        Map<Integer, Double> busiest = new HashMap<>();
-        for (int bucket : buckets.subList(0, Math.min(REPORTED_BUCKETS, buckets.size()))) {
-            busiest.put(bucket, ownRates.rate(bucket));
-        }
-        return busiest;
+                keyed ? ownRates.load(REPORTED_BUCKETS, REPORTED_SHARE * capacity) : KeyLoad.NONE);
     }
 
     private boolean hearsAuthority(long nowNs) {
--- a/router/src/main/java/org/siskintiller/router/peer/Frames.java
+++ b/router/src/main/java/org/siskintiller/router/peer/Frames.java
@@ -11,6 +11,7 @@
 import com.google.protobuf.ByteString;
 import org.siskintiller.core.balance.BackendLoad;
 import org.siskintiller.core.gate.Suspicion;
+import org.siskintiller.core.keyrange.KeyLoad;
 import org.siskintiller.core.keyrange.KeyRange;
 import org.siskintiller.core.lease.HolderReport;
 import org.siskintiller.core.model.Incarnation;
@@ -154,7 +155,8 @@
                 .setBackendServing(report.serving())
                 .setBackendRun(report.run())
                 .setLastFence(report.lastFence())
-                .setCapacity((float) report.capacity());
+                .setCapacity((float) report.capacity())
+                .setTotalRate((float) report.load().total());
         for (HolderReport.Released released : report.released()) {
             builder.addReleased(CompanionProto.Range.newBuilder()
                     .setFrom(released.range().from())
@@ -162,7 +164,8 @@
                     .setFence(released.fence())
                     .setHandover(released.handover()));
         }
-        report.rates()
+        report.load()
+                .buckets()
                 .forEach((bucket, rate) -> builder.addKeyLoads(
                         CompanionProto.KeyLoad.newBuilder().setBucket(bucket).setRate(rate.floatValue())));
         return Frame.newBuilder().setRenewal(builder).build();
@@ -186,7 +189,7 @@
                 renewal.getCapacity(),
                 renewal.getLastFence(),
                 released,
-                rates);
+                new KeyLoad(renewal.getTotalRate(), rates));
     }
 
     static Frame leaseReply(LeaseReply reply) {
