Renew no lease of a holder whose released keys are being given away

A holder reported released ranges, the authority sent a table that gives them to others, and the holder's process restarted before the table took effect. The new process did not know of the release, got a lease and granted the ranges again.

Change: while a table is on its way, no holder that loses ranges by it gets a lease. A companion closes earlier connections of an instance when it connects anew, so that no late message of an earlier process follows.

--- a/core/src/main/java/org/siskintiller/core/lease/Authority.java
+++ b/core/src/main/java/org/siskintiller/core/lease/Authority.java
@@ -72,8 +72,8 @@
      */
     public Optional<List<KeyRange>> renew(HolderReport report, KeyTable committed, long nowNs) {
         Pending proposal = pending.get(report.service());
-        boolean lapsed = proposal != null && proposal.lapsed.contains(report.instance());
-        if (report.lastFence() < committed.lastFence() || lapsed) {
+        boolean loses = proposal != null && proposal.losers.contains(report.instance());
+        if (report.lastFence() < committed.lastFence() || loses) {
             return Optional.empty();
         }
         HolderState state = holders.computeIfAbsent(report.instance(), name -> new HolderState());
@@ -111,7 +111,7 @@
         }
         List<KeyPlanner.FreeRange> free = free(table, nowNs);
         if (!free.isEmpty()) {
-            pending.put(table.service(), new Pending(lapsedHolders(table, nowNs)));
+            pending.put(table.service(), new Pending(holdersOf(free, table)));
             return Optional.of(planner.place(table, free, serving, rates(table, nowNs), term));
         }
         balance(table, serving, nowNs);
@@ -153,14 +153,16 @@
                 .isEmpty();
     }
 
-    private Set<String> lapsedHolders(KeyTable table, long nowNs) {
-        Set<String> lapsed = new HashSet<>();
-        for (KeyGrant grant : table.grants()) {
-            if (nowNs > leaseOverNs(grant.holder())) {
-                lapsed.add(grant.holder());
+    private static Set<String> holdersOf(List<KeyPlanner.FreeRange> ranges, KeyTable table) {
+        Set<String> holders = new HashSet<>();
+        for (KeyPlanner.FreeRange range : ranges) {
+            for (KeyGrant grant : table.grants()) {
+                if (grant.range().overlaps(range.range())) {
+                    holders.add(grant.holder());
+                }
             }
         }
-        return lapsed;
+        return holders;
     }
 
     private long leaseOverNs(String instance) {
@@ -240,8 +242,11 @@
         private long leaseOverNs;
     }
 
-    /** Table on its way to the store, with the holders that lose ranges because their lease is over. */
-    private record Pending(Set<String> lapsed) {}
+    /**
+     * Table on its way to the store, with the holders that lose ranges. They get no lease before they have read it: a
+     * lapsed one has not heard of its loss, and one that released the ranges may have restarted and forgotten it.
+     */
+    private record Pending(Set<String> losers) {}
 
     /** Moves that were decided together. */
     private record Round(List<KeyMove> moves, long sinceNs) {}
--- a/core/src/test/java/org/siskintiller/core/lease/AuthorityTest.java
+++ b/core/src/test/java/org/siskintiller/core/lease/AuthorityTest.java
@@ -74,6 +74,19 @@
             assertThat(renew("a", table, 3_700 * MS)).isEmpty();
         }
 
+        /** Guards against a restarted companion that grants again what its earlier process has released. */
+        @Test
+        void renewsNothingForARestartedHolderThatReleasedKeys() {
+            HolderReport.Released released = new HolderReport.Released(new KeyRange(0, 99), table.lastFence(), "token");
+            HolderReport report =
+                    new HolderReport("a", SERVICE, 1, true, 50, table.lastFence(), List.of(released), KeyLoad.NONE);
+            authority.renew(report, table, 0);
+            renew("b", table, 0);
+            authority.plan(table, 2, 0).orElseThrow();
+
+            assertThat(renew("a", table, 100 * MS)).isEmpty();
+        }
+
         /** Guards against a holder that grants rows of a table that is no longer in force. */
         @Test
         void renewsNothingForAHolderWithAnOldTable() {
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -103,9 +103,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, Frame frame) {
             switch (frame.getKindCase()) {
-                case HELLO -> {
-                    instance = frame.getHello().getInstance();
-                }
+                case HELLO -> identified(frame.getHello().getInstance());
                 case REQUEST -> request(frame.getRequest());
                 case CANCEL -> cancel(frame.getCancel().getStream());
                 case CREDIT -> {
@@ -139,6 +137,19 @@
             }
         }
 
+        /**
+         * Closes earlier connections of the same instance. A restarted companion must not be followed by messages of its
+         * earlier process that a link held up.
+         */
+        private void identified(String name) {
+            instance = name;
+            for (Connection each : Set.copyOf(connections)) {
+                if (each != this && each.instance.equals(name)) {
+                    each.channel.close();
+                }
+            }
+        }
+
         private void request(CompanionProto.Request request) {
             Stream stream = new Stream(this, request.getStream());
             streams.put(stream.id, stream);
