Place the keys of a large service on all holders and scale intervals with the fleet

Every companion sent its status to 90 others twice a second, and each of 91 registrations woke the reads of all.

Change: a range above the fair share of a holder is spread, a smaller one of a lost holder is cut in parts; the first table waits until no instance was added for 1.5 s. FleetPace stretches status, waits and pauses of reads above 16 companions; a silent companion is asked for its status with the next request; large services are compared by a random sample; one that lags is supplied by its neighbours only.

--- a/core/src/main/java/org/siskintiller/core/keyrange/KeyPlanner.java
+++ b/core/src/main/java/org/siskintiller/core/keyrange/KeyPlanner.java
@@ -1,13 +1,14 @@
 package org.siskintiller.core.keyrange;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 /** Places free ranges. {@link KeyBalancer} moves ranges that have a holder. */
 public final class KeyPlanner {
-    /** Most keys of one free range that go to a single holder, and of one range moved to a newcomer: 1/32 of all. */
-    private static final int MOST_MOVED_KEYS = 2_048;
+    /** Parts into which a fair share of a lost holder is cut, so that no other holder's load doubles. */
+    private static final int PARTS_OF_FAIR_SHARE = 4;
 
     /** Splits free ranges between holders in proportion to their free capacity and returns the new table. */
     public KeyTable place(KeyTable table, List<FreeRange> free, List<HolderLoad> holders, KeyRates rates, long term) {
@@ -17,18 +18,32 @@
         Map<String, Double> loads = loads(table, holders, rates);
         KeyTable next = table;
         for (FreeRange range : free) {
-            if (range.range().size() > MOST_MOVED_KEYS * holders.size()
-                    && range.handover().isEmpty()) {
+            int fairShare = (KeyRange.MAX_KEY + 1) / holders.size();
+            if (range.range().size() > fairShare && range.handover().isEmpty()) {
                 next = spread(next, range, holders, loads, rates, term);
                 continue;
             }
-            HolderLoad target = leastLoaded(holders, loads, range.preferred());
-            next = next.assign(range.range(), target.holder(), range.handover(), term);
-            loads.merge(target.holder().instance(), weight(range.range(), rates), Double::sum);
+            for (KeyRange part : parts(range, fairShare / PARTS_OF_FAIR_SHARE)) {
+                HolderLoad target = leastLoaded(holders, loads, range.preferred());
+                next = next.assign(part, target.holder(), range.handover(), term);
+                loads.merge(target.holder().instance(), weight(part, rates), Double::sum);
+            }
         }
         return next;
     }
 
+    /** Cuts the range of a lost holder. One with a token stays whole, since it goes to one holder with its state. */
+    private static List<KeyRange> parts(FreeRange free, int mostKeys) {
+        if (!free.handover().isEmpty() || !free.preferred().isEmpty()) {
+            return List.of(free.range());
+        }
+        List<KeyRange> parts = new ArrayList<>();
+        for (int from = free.range().from(); from <= free.range().to(); from += mostKeys) {
+            parts.add(new KeyRange(from, Math.min(free.range().to(), from + mostKeys - 1)));
+        }
+        return parts;
+    }
+
     private KeyTable spread(
             KeyTable table,
             FreeRange free,
--- a/core/src/main/java/org/siskintiller/core/lease/Authority.java
+++ b/core/src/main/java/org/siskintiller/core/lease/Authority.java
@@ -24,6 +24,8 @@
 public final class Authority {
     /** A table is first filled when all instances serve or this time has passed, so that they get equal shares. */
     private static final long FIRST_PLACEMENT_NS = 5_000_000_000L;
+    /** Instances count as all when none was added for this time: small machines start a second later than large ones. */
+    private static final long INSTANCES_SETTLED_NS = 1_500_000_000L;
     /** Pause between two rounds of moves, in which the effect of the first becomes visible in the rates. */
     private static final long MOVE_PAUSE_NS = 1_200_000_000L;
     /** Interval in which the balance of a service is judged. Holders report about as often. */
@@ -39,6 +41,8 @@
     private final Map<String, Long> nextBalanceNs = new HashMap<>();
     private final Map<String, Pending> pending = new HashMap<>();
     private long unknownHoldersOverNs;
+    private int knownInstances;
+    private long instancesSinceNs;
 
     /**
      * Starts a term.
@@ -106,7 +110,7 @@
         if (serving.isEmpty()) {
             return Optional.empty();
         }
-        if (table.grants().isEmpty() && serving.size() < instances && nowNs - electedNs < FIRST_PLACEMENT_NS) {
+        if (table.grants().isEmpty() && !isComplete(serving.size(), instances, nowNs)) {
             return Optional.empty();
         }
         List<KeyPlanner.FreeRange> free = free(table, nowNs);
@@ -124,6 +128,15 @@
         return round == null ? List.of() : round.moves;
     }
 
+    private boolean isComplete(int serving, int instances, long nowNs) {
+        if (instances != knownInstances) {
+            knownInstances = instances;
+            instancesSinceNs = nowNs;
+        }
+        boolean settled = serving >= instances && nowNs - instancesSinceNs >= INSTANCES_SETTLED_NS;
+        return settled || nowNs - electedNs >= FIRST_PLACEMENT_NS;
+    }
+
     private void balance(KeyTable table, List<HolderLoad> serving, long nowNs) {
         String service = table.service();
         Round round = rounds.get(service);
--- a/core/src/test/java/org/siskintiller/core/keyrange/KeyPlannerTest.java
+++ b/core/src/test/java/org/siskintiller/core/keyrange/KeyPlannerTest.java
@@ -29,6 +29,17 @@
             }
         }
 
+        /** Guards against a large service whose keys all go to one holder. */
+        @Test
+        void givesEachOfManyHoldersItsShare() {
+            KeyTable table = place(KeyTable.empty("service"), holders(53));
+
+            for (HolderLoad holder : holders(53)) {
+                double share = table.keysHeldBy(holder.holder().instance()) / 65_536.0;
+                assertThat(share).isWithin(0.005).of(1 / 53.0);
+            }
+        }
+
         /** Guards against keys of a lost holder that all go to one other. */
         @Test
         void spreadsALargeRange() {
--- a/node/src/main/java/org/siskintiller/node/LogEvent.java
+++ b/node/src/main/java/org/siskintiller/node/LogEvent.java
@@ -75,6 +75,7 @@
     LOG_QUEUE_FULL(1506, Level.WARN, "append queue full; record dropped for a later retry", "restore the log service"),
     STORE_APPEND_CONFLICT(1507, Level.INFO, "conditional append came too late", "none; the newer record is read first"),
     MEMBER_CHANGED(1508, Level.INFO, "member changed", "none"),
+    MEMBERS_READ(1509, Level.INFO, "members read for the first time", "none"),
 
     REQUEST_COMPLETED(1601, Level.INFO, "response sent", "none"),
     REQUEST_FAILED(1602, Level.WARN, "request answered with an error of the router", "follow docs/OPERATIONS.md"),
--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -35,6 +35,7 @@
 import org.siskintiller.router.ingress.CallerRequest;
 import org.siskintiller.router.ingress.CallerResponse;
 import org.siskintiller.router.ingress.CallerServer;
+import org.siskintiller.router.peer.FleetPace;
 import org.siskintiller.router.peer.PeerServer;
 import org.siskintiller.router.request.Header;
 import org.siskintiller.router.request.HeaderNames;
@@ -86,16 +87,18 @@
         ControlState state = new ControlState();
         BackendPool pool = new BackendPool(settings.backend(), loop, names, metrics);
         this.gate = new BackendGate(loop, pool, presence, keys, crashes, metrics);
-        PeerDirectory peers =
-                new PeerDirectory(settings.instance(), settings.failureDomain(), settings.service(), loop, state, gate);
+        FleetPace pace = new FleetPace();
+        PeerDirectory peers = new PeerDirectory(
+                settings.instance(), settings.failureDomain(), settings.service(), loop, state, gate, pace);
         this.router = new RequestRouter(loop, names, settings.router(), peers, gate::runs, metrics);
-        this.config = new ConfigFeed(store, loop, configDecoder, router);
+        this.config = new ConfigFeed(store, loop, pace, configDecoder, router);
         this.control = new ControlDriver(
                 new ControlSettings(self, new Incarnation(new SecureRandom().nextLong())),
                 store,
                 loop,
                 state,
                 peers,
+                pace,
                 new LocalBackend(gate, presence, crashes, keys));
         peers.listen(control);
         this.peerServer = new PeerServer(loop, gate, control);
--- a/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
+++ b/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
@@ -4,6 +4,7 @@
 import org.siskintiller.core.path.RouteTable;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.peer.FleetPace;
 import org.siskintiller.router.request.RequestRouter;
 import org.siskintiller.router.store.RecordStore;
 import org.siskintiller.router.store.StoreTopic;
@@ -12,7 +13,10 @@
 
 /** Puts the operator's newest configuration in force. Versions only rise within a process. */
 public final class ConfigFeed implements TopicFeed.FeedListener {
-    /** A connection to the store that fell silent must be noticed before a configuration is due, within 5 s. */
+    /**
+     * A connection to the store that fell silent must be noticed before a configuration is due, within 5 s. In a large
+     * fleet, where the wait is longer, the status of other companions tells that a configuration was missed.
+     */
     private static final long READ_WAIT_MS = 3_000;
 
     private final ConfigDecoder decoder;
@@ -21,10 +25,10 @@
     private volatile RouteTable routes;
     private byte[] content = new byte[0];
 
-    public ConfigFeed(RecordStore store, EventLoop loop, ConfigDecoder decoder, RequestRouter router) {
+    public ConfigFeed(RecordStore store, EventLoop loop, FleetPace pace, ConfigDecoder decoder, RequestRouter router) {
         this.decoder = decoder;
         this.router = router;
-        this.feed = new TopicFeed(store, StoreTopic.OPERATOR, loop, () -> READ_WAIT_MS, this);
+        this.feed = new TopicFeed(store, StoreTopic.OPERATOR, loop, () -> pace.readWaitMs(READ_WAIT_MS), () -> 0, this);
     }
 
     public void start() {
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -22,6 +22,7 @@
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.backend.BackendGate;
 import org.siskintiller.router.backend.CrashWatch;
+import org.siskintiller.router.peer.FleetPace;
 import org.siskintiller.router.peer.LeaseReply;
 import org.siskintiller.router.peer.PeerClient;
 import org.siskintiller.router.peer.PeerEvents;
@@ -38,8 +39,6 @@
  */
 public final class ControlDriver implements PeerEvents, TopicFeed.FeedListener {
     private static final long TICK_MS = 100;
-    /** Interval of the status to other companions; changes are told at once. */
-    private static final long STATUS_INTERVAL_NS = 500_000_000L;
     /** Interval in which the request rates of keys are computed. */
     private static final long RATES_INTERVAL_NS = 500_000_000L;
     /** Buckets of keys that a renewal reports. A hot set of 200 keys covers 51. */
@@ -72,6 +71,7 @@
     private final EventLoop loop;
     private final ControlState state;
     private final PeerDirectory peers;
+    private final FleetPace pace;
     private final BackendGate gate;
     private final BackendPresence presence;
     private final CrashWatch crashes;
@@ -103,6 +103,7 @@
             EventLoop loop,
             ControlState state,
             PeerDirectory peers,
+            FleetPace pace,
             LocalBackend backend) {
         this.settings = settings;
         this.self = settings.self().instance();
@@ -111,12 +112,13 @@
         this.loop = loop;
         this.state = state;
         this.peers = peers;
+        this.pace = pace;
         this.gate = backend.gate();
         this.presence = backend.presence();
         this.crashes = backend.crashes();
         this.holder = backend.keys().holder();
         this.ownRates = backend.keys().rates();
-        this.feed = new TopicFeed(store, StoreTopic.CONTROL, loop, this::readWaitMs, this);
+        this.feed = new TopicFeed(store, StoreTopic.CONTROL, loop, this::readWaitMs, pace::readPauseMs, this);
     }
 
     public void start(RequestRouter newRouter, ConfigFeed newConfig, Runnable newStatusPublisher) {
@@ -213,7 +215,9 @@
         }
         String key = record.key();
         if (key.startsWith(ControlRecords.MEMBER_PREFIX)) {
-            EventLog.log(LogEvent.MEMBER_CHANGED, "member", key, "offset", record.offset());
+            if (caughtUp) {
+                EventLog.log(LogEvent.MEMBER_CHANGED, "member", key, "offset", record.offset());
+            }
             peers.membersChanged();
             router.setCompanions(state.members().size());
         } else if (key.equals(ControlRecords.AUTHORITY_KEY)) {
@@ -226,6 +230,7 @@
     @Override
     public void caughtUp() {
         caughtUp = true;
+        EventLog.log(LogEvent.MEMBERS_READ, "members", state.members().size(), "end", state.end());
         register();
     }
 
@@ -319,7 +324,7 @@
             authorityHeardNs = System.nanoTime();
             authorityStoreAgeNs = status.storeAgeMs() * 1_000_000;
         }
-        if (status.storeAgeMs() > SHARE_STORE_AGE_MS) {
+        if (status.storeAgeMs() > SHARE_STORE_AGE_MS && peers.suppliesNews(client.instance())) {
             if (status.recordsEnd() < state.end()) {
                 client.shareRecords(state.records());
             }
@@ -387,7 +392,7 @@
             if (nowNs - renewedNs >= LeaseTiming.RENEWAL_INTERVAL_NS) {
                 renew(nowNs);
             }
-            if (nowNs - statusNs >= STATUS_INTERVAL_NS) {
+            if (nowNs - statusNs >= pace.statusIntervalNs()) {
                 publishStatus();
             }
             register();
@@ -418,7 +423,7 @@
 
     /** The age of the last contact matters for the authority; others hear from it when they miss a record. */
     private long readWaitMs() {
-        return authority.active() ? AUTHORITY_READ_WAIT_MS : READ_WAIT_MS;
+        return authority.active() ? AUTHORITY_READ_WAIT_MS : pace.readWaitMs(READ_WAIT_MS);
     }
 
     private void register() {
--- a/router/src/main/java/org/siskintiller/router/control/PeerDirectory.java
+++ b/router/src/main/java/org/siskintiller/router/control/PeerDirectory.java
@@ -6,13 +6,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
+import org.siskintiller.core.balance.CandidateSample;
 import org.siskintiller.core.balance.DelayEstimate;
 import org.siskintiller.core.keyrange.KeyGrant;
 import org.siskintiller.core.path.RequestKind;
 import org.siskintiller.router.backend.BackendGate;
+import org.siskintiller.router.peer.FleetPace;
 import org.siskintiller.router.peer.PeerClient;
 import org.siskintiller.router.peer.PeerEvents;
 import org.siskintiller.router.peer.PeerStatus;
@@ -27,6 +30,8 @@
     private static final long OTHER_DOMAIN_DOWNLOAD_NS = TimeUnit.MILLISECONDS.toNanos(120);
     /** The same for another machine of the own domain. */
     private static final long OTHER_MACHINE_NS = TimeUnit.MILLISECONDS.toNanos(1);
+    /** Companions on either side, in the order of names, that supply one that lags: three lost ones do not cut it off. */
+    private static final int SUPPLIERS_EACH_SIDE = 2;
     /** Weight of the newest result in a failure rate. */
     private static final double FAILURE_WEIGHT = 0.1;
 
@@ -36,18 +41,26 @@
     private final EventLoop loop;
     private final ControlState state;
     private final BackendGate gate;
+    private final FleetPace pace;
     private final Map<String, PeerClient> clients = new HashMap<>();
     private final Map<String, Double> failureRates = new HashMap<>();
     private PeerEvents events;
 
     public PeerDirectory(
-            String self, String ownDomain, String ownService, EventLoop loop, ControlState state, BackendGate gate) {
+            String self,
+            String ownDomain,
+            String ownService,
+            EventLoop loop,
+            ControlState state,
+            BackendGate gate,
+            FleetPace pace) {
         this.self = self;
         this.ownDomain = ownDomain;
         this.ownService = ownService;
         this.loop = loop;
         this.state = state;
         this.gate = gate;
+        this.pace = pace;
     }
 
     public void listen(PeerEvents listener) {
@@ -56,13 +69,14 @@
 
     /** Connects to new members, follows moved ones and drops those that are gone. */
     public void membersChanged() {
+        pace.setCompanions(state.members().size());
         for (Member member : state.members().values()) {
             if (member.instance().equals(self)) {
                 continue;
             }
             PeerClient client = clients.get(member.instance());
             if (client == null) {
-                client = new PeerClient(self, member.instance(), member.address(), loop, events);
+                client = new PeerClient(self, member.instance(), member.address(), loop, pace, events);
                 clients.put(member.instance(), client);
                 client.connect();
             } else {
@@ -76,6 +90,19 @@
         }
     }
 
+    /**
+     * Whether this companion passes records and configurations on to the other one. In a large fleet only the next ones
+     * in the order of names do, so that one that lags is not sent the same by all.
+     */
+    boolean suppliesNews(String instance) {
+        if (pace.isSmall()) {
+            return true;
+        }
+        List<String> order = List.copyOf(state.members().keySet());
+        int distance = Math.abs(order.indexOf(self) - order.indexOf(instance));
+        return Math.min(distance, order.size() - distance) <= SUPPLIERS_EACH_SIDE;
+    }
+
     public Collection<PeerClient> clients() {
         return clients.values();
     }
@@ -104,7 +131,7 @@
                     failureRate(client.instance()),
                     wayNs(client.instance(), kind)));
         }
-        return candidates;
+        return CandidateSample.of(candidates, ThreadLocalRandom.current());
     }
 
     @Override
--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -40,14 +40,17 @@
     private static final int CONNECT_TIMEOUT_MS = 700;
     private static final long FIRST_RECONNECT_MS = 100;
     private static final long LONGEST_RECONNECT_MS = 800;
-    /** A connection without any frame for almost three status intervals is closed. */
-    private static final long SILENCE_NS = 1_400_000_000L;
-    /** One that is silent for this long gets no new requests. */
+    /** A companion that was silent for longer is asked for its status with the next request. */
+    private static final long ASK_AFTER_NS = 600_000_000L;
+    /** A companion that does not answer for this long gets no new requests. */
     private static final long UNRESPONSIVE_NS = 900_000_000L;
+    /** A connection on which it does not answer for this long is closed. */
+    private static final long UNANSWERED_NS = 1_400_000_000L;
 
     private final String self;
     private final String instance;
     private final EventLoop loop;
+    private final FleetPace pace;
     private final PeerEvents events;
     private final Map<Integer, Stream> streams = new HashMap<>();
     private Address address;
@@ -57,15 +60,20 @@
     private BackendLoad load = BackendLoad.UNKNOWN;
     private int sentSinceReport;
     private long heardNs;
+    /** Time at which the companion was asked for its status, 0 while no answer is awaited. */
+    private long askedNs;
+
     private long reconnectMs = FIRST_RECONNECT_MS;
     private int lastStream;
     private boolean closed;
 
-    public PeerClient(String self, String instance, Address address, EventLoop loop, PeerEvents events) {
+    public PeerClient(
+            String self, String instance, Address address, EventLoop loop, FleetPace pace, PeerEvents events) {
         this.self = self;
         this.instance = instance;
         this.address = address;
         this.loop = loop;
+        this.pace = pace;
         this.events = events;
     }
 
@@ -83,7 +91,8 @@
 
     /** Whether the companion is connected and has told its status lately. */
     public boolean responsive(long nowNs) {
-        return status != null && nowNs - heardNs < UNRESPONSIVE_NS;
+        boolean answers = askedNs == 0 || nowNs - askedNs < UNRESPONSIVE_NS;
+        return status != null && answers && nowNs - heardNs < pace.unresponsiveNs();
     }
 
     public BackendLoad load() {
@@ -132,7 +141,8 @@
 
     /** Closes a connection on which nothing has arrived for too long. */
     public void check(long nowNs) {
-        if (connected && nowNs - heardNs > SILENCE_NS) {
+        boolean unanswered = askedNs != 0 && nowNs - askedNs > UNANSWERED_NS;
+        if (connected && (unanswered || nowNs - heardNs > pace.silentNs())) {
             EventLog.log(LogEvent.PEER_CONNECT_FAILED, "peer", instance, "cause", "silent connection");
             closeChannel();
         }
@@ -168,12 +178,23 @@
             listener.refused(new Refusal(RefusalReason.UNREACHABLE, 0, false));
             return new Stream(0, listener);
         }
+        long nowNs = System.nanoTime();
+        if (askedNs == 0 && nowNs - heardNs > ASK_AFTER_NS) {
+            askedNs = nowNs;
+            write(hello());
+        }
         Stream stream = new Stream(++lastStream, listener);
         streams.put(stream.id, stream);
-        write(Frames.request(stream.id, request, System.nanoTime()));
+        write(Frames.request(stream.id, request, nowNs));
         return stream;
     }
 
+    private Frame hello() {
+        return Frame.newBuilder()
+                .setHello(CompanionProto.Hello.newBuilder().setInstance(self))
+                .build();
+    }
+
     private void write(Frame frame) {
         if (connected) {
             channel.writeAndFlush(frame);
@@ -193,6 +214,7 @@
 
     private void received(Frame frame) {
         heardNs = System.nanoTime();
+        askedNs = 0;
         switch (frame.getKindCase()) {
             case STATUS -> status(frame.getStatus());
             case RESPONSE_START -> {
@@ -287,10 +309,9 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             heardNs = System.nanoTime();
+            askedNs = 0;
             connected = true;
-            context.writeAndFlush(Frame.newBuilder()
-                    .setHello(CompanionProto.Hello.newBuilder().setInstance(self))
-                    .build());
+            context.writeAndFlush(hello());
         }
 
         @Override
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -138,10 +138,14 @@
         }
 
         /**
-         * Closes earlier connections of the same instance. A restarted companion must not be followed by messages of its
+         * Answers a repeated greeting with the status. The first one closes earlier connections of the same instance. A restarted companion must not be followed by messages of its
          * earlier process that a link held up.
          */
         private void identified(String name) {
+            if (instance.equals(name)) {
+                channel.writeAndFlush(statusFrame(events.status()));
+                return;
+            }
             instance = name;
             for (Connection each : Set.copyOf(connections)) {
                 if (each != this && each.instance.equals(name)) {
--- a/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
+++ b/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
@@ -18,6 +18,7 @@
     private final StoreTopic topic;
     private final EventLoop loop;
     private final LongSupplier waitMs;
+    private final LongSupplier pauseBetweenMs;
     private final FeedListener listener;
     private long next;
     private boolean positioned;
@@ -30,12 +31,20 @@
      * Creates a feed.
      *
      * @param waitMs time that a read waits for news; a connection that fell silent is noticed after it
+     * @param pauseBetweenMs least time between the starts of two reads, in which several records are read at once
      */
-    public TopicFeed(RecordStore store, StoreTopic topic, EventLoop loop, LongSupplier waitMs, FeedListener listener) {
+    public TopicFeed(
+            RecordStore store,
+            StoreTopic topic,
+            EventLoop loop,
+            LongSupplier waitMs,
+            LongSupplier pauseBetweenMs,
+            FeedListener listener) {
         this.store = store;
         this.topic = topic;
         this.loop = loop;
         this.waitMs = waitMs;
+        this.pauseBetweenMs = pauseBetweenMs;
         this.listener = listener;
         this.contactNs = System.nanoTime() - TimeUnit.HOURS.toNanos(1);
     }
@@ -81,7 +90,8 @@
                 listener.caughtUp();
             }
             listener.progressed();
-            call();
+            long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNs);
+            callAfter(pauseBetweenMs.getAsLong() - tookMs);
             return;
         }
         if (result instanceof StoreResult.Expired<RecordBatch>) {
@@ -96,6 +106,14 @@
         pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
     }
 
+    private void callAfter(long pause) {
+        if (pause <= 0) {
+            call();
+        } else {
+            loop.schedule(this::call, pause, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void regained() {
         pauseMs = FIRST_PAUSE_MS;
         if (!reachable) {
