Handle new requests after a stall only when the sockets were read again

Change: LoopLag tells whether the event loop was late by 100 ms; then a new request, from a caller or a companion, is handled after the next read of the sockets, and dropped if its caller has left.

--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -56,6 +56,7 @@
 
     private final CompanionSettings settings;
     private final EventLoop loop;
+    private final LoopLag lag;
     private final MetricRegistry metrics = new MetricRegistry();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final BackendGate gate;
@@ -78,6 +79,7 @@
             HeartbeatCodec heartbeatCodec) {
         this.settings = settings;
         this.loop = loop;
+        this.lag = new LoopLag(loop);
         long nowNs = System.nanoTime();
         Member self =
                 new Member(settings.instance(), settings.companions(), settings.failureDomain(), settings.service());
@@ -101,12 +103,12 @@
                 pace,
                 new LocalBackend(gate, presence, crashes, keys));
         peers.listen(control);
-        this.peerServer = new PeerServer(loop, gate, control);
-        this.callers = new CallerServer(loop, router, this::callerLimits);
-        this.readiness = new CallerServer(loop, this::ready, () -> LOCAL_LIMITS);
+        this.peerServer = new PeerServer(loop, lag, gate, control);
+        this.callers = new CallerServer(loop, lag, router, this::callerLimits);
+        this.readiness = new CallerServer(loop, lag, this::ready, () -> LOCAL_LIMITS);
         CallerHandler heartbeatHandler = new HeartbeatHandler(heartbeatCodec, gate, control::beat);
-        this.heartbeats = new CallerServer(loop, heartbeatHandler, () -> LOCAL_LIMITS);
-        this.metricsPages = new CallerServer(loop, this::metricsPage, () -> LOCAL_LIMITS);
+        this.heartbeats = new CallerServer(loop, lag, heartbeatHandler, () -> LOCAL_LIMITS);
+        this.metricsPages = new CallerServer(loop, lag, this::metricsPage, () -> LOCAL_LIMITS);
     }
 
     /** Binds all addresses and starts to follow the store. Not called on the event loop. */
@@ -116,6 +118,7 @@
         heartbeats.bind(settings.heartbeats());
         peerServer.bind(settings.companions());
         metricsPages.bind(settings.metrics());
+        lag.start();
         loop.execute(() -> {
             config.start();
             control.start(router, config, peerServer::publishStatus);
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -205,7 +205,13 @@
         }
         CallerRequest request =
                 new CallerRequest(whole.method().name(), whole.uri(), whole.headers(), bytes, arrivedNs);
-        entry.callerLeft = server.handler().handle(request, entry.response);
+        server.lag().afterStall(() -> handle(request, entry));
+    }
+
+    private void handle(CallerRequest request, Entry entry) {
+        if (entries.contains(entry)) {
+            entry.callerLeft = server.handler().handle(request, entry.response);
+        }
     }
 
     private void rejectMalformed(String detail) {
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
@@ -18,6 +18,7 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import org.siskintiller.core.model.Address;
 import org.siskintiller.core.path.CallerLimits;
+import org.siskintiller.router.LoopLag;
 import org.siskintiller.router.Sockets;
 
 /** HTTP server for callers, or for local pages and heartbeats. */
@@ -33,14 +34,16 @@
     private final EventLoop loop;
     private final CallerHandler handler;
     private final Supplier<CallerLimits> limits;
+    private final LoopLag lag;
     private final Set<CallerConnection> connections = new HashSet<>();
     private boolean stopping;
     private Channel server;
 
-    public CallerServer(EventLoop loop, CallerHandler handler, Supplier<CallerLimits> limits) {
+    public CallerServer(EventLoop loop, LoopLag lag, CallerHandler handler, Supplier<CallerLimits> limits) {
         this.loop = loop;
         this.handler = handler;
         this.limits = limits;
+        this.lag = lag;
     }
 
     public void bind(Address address) throws IOException {
@@ -86,6 +89,10 @@
         return (int) Math.min(MAX_BODY_BYTES, limits.get().maxBodyBytes());
     }
 
+    LoopLag lag() {
+        return lag;
+    }
+
     CallerHandler handler() {
         return handler;
     }
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -16,8 +16,10 @@
 import org.siskintiller.core.model.Address;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.LoopLag;
 import org.siskintiller.router.Sockets;
 import org.siskintiller.router.backend.BackendGate;
+import org.siskintiller.router.request.ForwardedRequest;
 import org.siskintiller.router.request.Refusal;
 import org.siskintiller.router.request.ResponseHead;
 import org.siskintiller.router.request.ResponseListener;
@@ -29,13 +31,15 @@
 /** Accepts the connections of other companions and passes their requests to the gate of this machine. */
 public final class PeerServer {
     private final EventLoop loop;
+    private final LoopLag lag;
     private final BackendGate gate;
     private final PeerEvents events;
     private final Set<Connection> connections = new HashSet<>();
     private Channel server;
 
-    public PeerServer(EventLoop loop, BackendGate gate, PeerEvents events) {
+    public PeerServer(EventLoop loop, LoopLag lag, BackendGate gate, PeerEvents events) {
         this.loop = loop;
+        this.lag = lag;
         this.gate = gate;
         this.events = events;
     }
@@ -108,7 +112,7 @@
                 case CANCEL -> cancel(frame.getCancel().getStream());
                 case CREDIT -> {
                     Stream stream = streams.get(frame.getCredit().getStream());
-                    if (stream != null) {
+                    if (stream != null && stream.sent != null) {
                         stream.sent.credit(frame.getCredit().getBytes());
                     }
                 }
@@ -157,8 +161,14 @@
         private void request(CompanionProto.Request request) {
             Stream stream = new Stream(this, request.getStream());
             streams.put(stream.id, stream);
-            SentRequest sent = gate.send(Frames.request(request, System.nanoTime()), stream);
-            stream.sent = sent;
+            ForwardedRequest forwarded = Frames.request(request, System.nanoTime());
+            lag.afterStall(() -> send(forwarded, stream));
+        }
+
+        private void send(ForwardedRequest request, Stream stream) {
+            if (streams.containsKey(stream.id)) {
+                stream.sent = gate.send(request, stream);
+            }
         }
 
         private void cancel(int id) {
--- a/router/src/test/java/org/siskintiller/router/ingress/CallerServerTest.java
+++ b/router/src/test/java/org/siskintiller/router/ingress/CallerServerTest.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -17,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.siskintiller.core.model.Address;
 import org.siskintiller.core.path.CallerLimits;
+import org.siskintiller.router.LoopLag;
 import org.siskintiller.router.request.ResponseHead;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -29,9 +32,11 @@
 
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) loops.next();
+    private final LoopLag lag = new LoopLag(loop);
+    private final AtomicInteger handled = new AtomicInteger();
     private final CountDownLatch callerLeft = new CountDownLatch(1);
     private final CallerServer server =
-            new CallerServer(loop, this::handle, () -> new CallerLimits(MAX_HEADER_BYTES, 10_000, 15_000));
+            new CallerServer(loop, lag, this::handle, () -> new CallerLimits(MAX_HEADER_BYTES, 10_000, 15_000));
 
     @BeforeEach
     void bind() throws IOException {
@@ -65,6 +70,26 @@
         }
     }
 
+    @Nested
+    class Stalling {
+        /** Guards against requests that are forwarded after a stall of the process although their callers have left. */
+        @Test
+        void dropsARequestWhoseCallerLeftMeanwhile() throws Exception {
+            lag.start();
+            loop.submit(() -> {}).get();
+            CountDownLatch stalled = new CountDownLatch(1);
+            loop.execute(() -> {
+                stalled.countDown();
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(500));
+            });
+            stalled.await();
+            send(get("/never")).close();
+
+            Thread.sleep(800);
+            assertThat(handled.get()).isEqualTo(0);
+        }
+    }
+
     @Nested
     class Limiting {
         /** Guards against headers without bound. */
@@ -130,6 +155,7 @@
     }
 
     private Runnable handle(CallerRequest request, CallerResponse response) {
+        handled.incrementAndGet();
         switch (request.uri()) {
             case "/slow" -> loop.schedule(() -> answer(request, response), SLOW_MS, TimeUnit.MILLISECONDS);
             case "/cut" -> {
