Keep earlier connections of a companion and log lost ones

Why all connections went is not traced: their loss was logged at debug level only.

Change: the closing is taken back; lost and regained companions are logged.

The case that it was meant for, a late message of an earlier process of a restarted holder, is open again (docs/platform.md).

--- a/node/src/main/java/org/siskintiller/node/LogEvent.java
+++ b/node/src/main/java/org/siskintiller/node/LogEvent.java
@@ -46,8 +46,8 @@
     CONFIG_IN_FORCE(1216, Level.INFO, "configuration in force", "none"),
     CONTROL_FAILED(1217, Level.ERROR, "control plane failed; the process exits", "report the stack trace"),
 
-    PEER_CONNECTED(1301, Level.DEBUG, "connected to a companion", "none"),
-    PEER_CONNECT_FAILED(1302, Level.DEBUG, "cannot connect to a companion", "check the peer address and the network"),
+    PEER_CONNECTED(1301, Level.INFO, "connected to a companion", "none"),
+    PEER_CONNECT_FAILED(1302, Level.INFO, "cannot connect to a companion", "check the peer address and the network"),
     PEER_MALFORMED(
             1303, Level.WARN, "malformed data from a companion; connection closed", "check versions and network"),
     PEER_STREAM_RESET(1304, Level.DEBUG, "stream to a companion reset", "none"),
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -107,7 +107,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, Frame frame) {
             switch (frame.getKindCase()) {
-                case HELLO -> identified(frame.getHello().getInstance());
+                case HELLO -> greeted(frame.getHello().getInstance());
                 case REQUEST -> request(frame.getRequest());
                 case CANCEL -> cancel(frame.getCancel().getStream());
                 case CREDIT -> {
@@ -141,21 +141,12 @@
             }
         }
 
-        /**
-         * Answers a repeated greeting with the status. The first one closes earlier connections of the same instance. A restarted companion must not be followed by messages of its
-         * earlier process that a link held up.
-         */
-        private void identified(String name) {
+        /** Takes the greeting; a repeated one asks for the status. */
+        private void greeted(String name) {
             if (instance.equals(name)) {
                 channel.writeAndFlush(statusFrame(events.status()));
-                return;
             }
             instance = name;
-            for (Connection each : Set.copyOf(connections)) {
-                if (each != this && each.instance.equals(name)) {
-                    each.channel.close();
-                }
-            }
         }
 
         private void request(CompanionProto.Request request) {
