--- a/core/src/test/java/org/siskintiller/core/admission/AdmissionTest.java
+++ b/core/src/test/java/org/siskintiller/core/admission/AdmissionTest.java
@@ -150,6 +150,19 @@
                 .isInstanceOf(AdmissionResult.Admitted.class);
     }
 
+    /** Guards against a request refused for the pace of a cold process, whose first dispatch took most of a second. */
+    @Test
+    void oneLongIntervalTellsNoPace() {
+        Admission<Request> admission = admission(1);
+        admission.configure(new AdmissionSettings(List.of(new RankSettings("only", 0, 0, 50)), Map.of(), "only"));
+        add(admission, new Request("only", "c", NEVER));
+        add(admission, new Request("only", "c", NEVER));
+        assertThat(admission.next(768 * MS)).isNotNull();
+
+        assertThat(admission.reserve(new Request("only", "c", 1_268 * MS), 768 * MS))
+                .isInstanceOf(AdmissionResult.Admitted.class);
+    }
+
     /** Guards against a limit that a wrong load report moves too far or too fast. */
     @Property(seed = "6", tries = 200)
     void limitStaysBetweenFloorAndAnnouncement(
