--- a/core/src/test/java/org/siskintiller/core/lease/KeyHolderTest.java
+++ b/core/src/test/java/org/siskintiller/core/lease/KeyHolderTest.java
@@ -95,6 +95,51 @@
         }
     }
 
+    @Nested
+    class HoldingAnswers {
+        private static final long LASTS_NS = 1_500 * MS;
+
+        /** Guards against a grant that reaches the backend server only after the delay of a held answer. */
+        @Test
+        void tellsANewGrantAtOnce() {
+            holder.renewed(0, 3_500);
+            holder.accept(new BackendBeat(RUN, ++sequence, List.of(), List.of()), 0);
+            assertThat(holder.answerMayWait(LASTS_NS, 0)).isTrue();
+
+            holder.assign(List.of(GRANT));
+
+            assertThat(holder.answerMayWait(LASTS_NS, 0)).isFalse();
+        }
+
+        /** Guards against a release that waits although the backend server could learn of it. */
+        @Test
+        void tellsAReleaseAtOnceAndCompletesItWithTheNextHeartbeat() {
+            holder.assign(List.of(GRANT));
+            holder.renewed(0, 3_500);
+            beat(RUN, 0);
+            holder.accept(new BackendBeat(RUN, ++sequence, List.of(RANGE), List.of()), 100 * MS);
+            assertThat(holder.answerMayWait(LASTS_NS, 100 * MS)).isTrue();
+
+            holder.release(List.of(RANGE));
+            assertThat(holder.answerMayWait(LASTS_NS, 200 * MS)).isFalse();
+            assertThat(holder.answer(200 * MS).grants()).isEmpty();
+
+            holder.beat(new BackendBeat(RUN, ++sequence, List.of(), List.of()), 300 * MS);
+            assertThat(holder.released()).containsExactly(new HolderReport.Released(RANGE, 5, ""));
+        }
+
+        /** Guards against a hold that ends while its renewal is held back. */
+        @Test
+        void renewsAHoldThatEndsSoon() {
+            holder.assign(List.of(GRANT));
+            holder.renewed(0, 3_500);
+            beat(RUN, 0);
+            holder.accept(new BackendBeat(RUN, ++sequence, List.of(RANGE), List.of()), 2_500 * MS);
+
+            assertThat(holder.answerMayWait(LASTS_NS, 2_500 * MS)).isFalse();
+        }
+    }
+
     @Nested
     class Releasing {
         /** Guards against a range that is given away while its backend server still works on it. */
