Log the lag of the event loop, the cost of configurations and cancelled attempts

Cause: the logs could not distinguish the three hypotheses on CONFIG and GONE: a late event loop, configuration that is bound to long reads of the store, and the cost of decoding it. The counter config.copies and the timer config.decode are new.

--- a/node/src/main/java/org/siskintiller/node/LogEvent.java
+++ b/node/src/main/java/org/siskintiller/node/LogEvent.java
@@ -22,6 +22,11 @@
     SETTINGS_RELOADED(1008, Level.INFO, "settings read again", "none"),
     SETTINGS_IGNORED(1009, Level.DEBUG, "setting that does not apply here ignored", "none"),
     LISTENING(1007, Level.INFO, "listening", "none"),
+    LOOP_STALLED(
+            1010,
+            Level.WARN,
+            "event loop was late; requests may have waited unread",
+            "give the machine more processor time, or look for what stopped the process"),
 
     REQUEST_REJECTED(1101, Level.DEBUG, "malformed request rejected", "correct the caller"),
     REQUEST_REFUSED(1102, Level.DEBUG, "request refused", "see the remedy in the response"),
@@ -94,6 +99,7 @@
     RESPONSE_DISCARDED(1607, Level.WARN, "response data that matches no request discarded", "check the backend server"),
     REQUEST_QUARANTINED(1608, Level.WARN, "request refused because it crashed backend servers", "check the request"),
     CRASH_SUSPECTED(1609, Level.WARN, "backend server lost while it ran a request", "check the request"),
+    ATTEMPT_CANCELLED(1610, Level.INFO, "attempt cancelled, since its caller disconnected or timed out", "none"),
 
     AUTHORITY_CHANGED(1701, Level.INFO, "lease authority changed", "none"),
     AUTHORITY_CLAIMED(1702, Level.INFO, "claiming the lease authority", "none"),
--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -79,7 +79,7 @@
             HeartbeatCodec heartbeatCodec) {
         this.settings = settings;
         this.loop = loop;
-        this.lag = new LoopLag(loop);
+        this.lag = new LoopLag(loop, metrics);
         long nowNs = System.nanoTime();
         Member self =
                 new Member(settings.instance(), settings.companions(), settings.failureDomain(), settings.service());
@@ -88,12 +88,12 @@
         CrashDetector crashes = new CrashDetector();
         ControlState state = new ControlState();
         BackendPool pool = new BackendPool(settings.backend(), loop, names, metrics);
-        this.gate = new BackendGate(loop, pool, presence, keys, crashes, metrics);
+        this.gate = new BackendGate(loop, lag, pool, presence, keys, crashes, metrics);
         FleetIntervals intervals = new FleetIntervals();
         PeerDirectory peers = new PeerDirectory(
                 settings.instance(), settings.failureDomain(), settings.service(), loop, state, gate, intervals);
-        this.router = new RequestRouter(loop, names, settings.router(), peers, gate::runs, metrics);
-        this.config = new ConfigFeed(store, loop, intervals, configDecoder, router);
+        this.router = new RequestRouter(loop, lag, names, settings.router(), peers, gate::runs, metrics);
+        this.config = new ConfigFeed(store, loop, intervals, configDecoder, router, metrics);
         this.control = new ControlDriver(
                 new ControlSettings(self, new Incarnation(new SecureRandom().nextLong())),
                 store,
--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -21,6 +21,7 @@
 import org.siskintiller.core.path.RequestKind;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.LoopLag;
 import org.siskintiller.router.request.Destination;
 import org.siskintiller.router.request.ForwardedRequest;
 import org.siskintiller.router.request.Refusal;
@@ -48,6 +49,7 @@
     private static final int FIRST_SERVER_ERROR = 500;
 
     private final EventLoop loop;
+    private final LoopLag lag;
     private final BackendPool pool;
     private final BackendPresence presence;
     private final HeldKeys keys;
@@ -70,12 +72,14 @@
 
     public BackendGate(
             EventLoop loop,
+            LoopLag lag,
             BackendPool pool,
             BackendPresence presence,
             HeldKeys keys,
             CrashDetector crashes,
             MetricRegistry metrics) {
         this.loop = loop;
+        this.lag = lag;
         this.pool = pool;
         this.presence = presence;
         this.keys = keys;
@@ -192,6 +196,7 @@
     }
 
     void cancelled(GateCall call) {
+        logCancelled(call);
         switch (call.state()) {
             case AWAITING_GRANT -> grantWaiters.remove(call);
             case QUEUED -> dequeue(call);
@@ -212,6 +217,24 @@
         dispatchQueued();
     }
 
+    /** A request that ran for a few milliseconds only was sent after its caller had disconnected. */
+    private void logCancelled(GateCall call) {
+        long nowNs = System.nanoTime();
+        boolean running = call.state() == GateCall.State.RUNNING;
+        EventLog.log(
+                LogEvent.ATTEMPT_CANCELLED,
+                "request",
+                call.request().requestId(),
+                "state",
+                call.state(),
+                "waited_ms",
+                ((running ? call.dispatchedNs() : nowNs) - call.arrivedNs()) / 1_000_000,
+                "ran_ms",
+                running ? (nowNs - call.dispatchedNs()) / 1_000_000 : 0,
+                "lag_ms",
+                lag.lagMs());
+    }
+
     void responseCompleted(GateCall call) {
         long nowNs = System.nanoTime();
         long serviceTimeNs = nowNs - call.dispatchedNs();
--- a/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
+++ b/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
@@ -1,5 +1,10 @@
 package org.siskintiller.router.control;
 
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
 import io.netty.channel.EventLoop;
 import org.siskintiller.core.path.RouteTable;
 import org.siskintiller.node.EventLog;
@@ -22,13 +27,23 @@
     private final ConfigDecoder decoder;
     private final RequestRouter router;
     private final TopicFeed feed;
+    private final Timer decodeTimer;
+    private final Counter copies;
     private volatile RouteTable routes;
     private byte[] content = new byte[0];
 
     public ConfigFeed(
-            RecordStore store, EventLoop loop, FleetIntervals intervals, ConfigDecoder decoder, RequestRouter router) {
+            RecordStore store,
+            EventLoop loop,
+            FleetIntervals intervals,
+            ConfigDecoder decoder,
+            RequestRouter router,
+            MetricRegistry metrics) {
         this.decoder = decoder;
         this.router = router;
+        this.decodeTimer = metrics.timer("config.decode");
+        this.copies = metrics.counter("config.copies");
+        metrics.gauge("config.version", () -> this::version);
         this.feed = new TopicFeed(
                 store, StoreTopic.OPERATOR, loop, () -> intervals.readWaitMs(READ_WAIT_MS), () -> 0, this);
     }
@@ -46,6 +61,8 @@
 
     /** Applies a configuration from the store or another companion if it is newer than the one in force. */
     public void received(byte[] newContent, String from) {
+        copies.inc();
+        long startNs = System.nanoTime();
         RouteTable next;
         try {
             next = decoder.decode(newContent);
@@ -53,6 +70,8 @@
             EventLog.log(LogEvent.SETTINGS_INVALID, "configuration from " + from + " ignored", e);
             return;
         }
+        long decodeNs = System.nanoTime() - startNs;
+        decodeTimer.update(decodeNs, TimeUnit.NANOSECONDS);
         if (routes != null && next.version() <= routes.version()) {
             return;
         }
@@ -65,7 +84,13 @@
                 "from",
                 from,
                 "routes",
-                next.routeCount());
+                next.routeCount(),
+                "bytes",
+                newContent.length,
+                "decode_ms",
+                TimeUnit.NANOSECONDS.toMillis(decodeNs),
+                "store_age_ms",
+                TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - feed.lastContactNs()));
         routes = next;
         content = newContent.clone();
         router.apply(next);
--- a/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
@@ -22,6 +22,7 @@
 import org.siskintiller.core.retry.SharedRetryBudget;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.LoopLag;
 import org.siskintiller.router.ingress.CallerHandler;
 import org.siskintiller.router.ingress.CallerRequest;
 import org.siskintiller.router.ingress.CallerResponse;
@@ -41,6 +42,7 @@
     private static final int MAX_KEY = 65_535;
 
     private final EventLoop loop;
+    private final LoopLag lag;
     private final HeaderNames names;
     private final RouterSettings settings;
     private final Backends backends;
@@ -66,12 +68,14 @@
      */
     public RequestRouter(
             EventLoop loop,
+            LoopLag lag,
             HeaderNames names,
             RouterSettings settings,
             Backends backends,
             Predicate<String> runsLocally,
             MetricRegistry metrics) {
         this.loop = loop;
+        this.lag = lag;
         this.names = names;
         this.settings = settings;
         this.backends = backends;
@@ -162,6 +166,10 @@
         return backends;
     }
 
+    long lagMs() {
+        return lag.lagMs();
+    }
+
     EventLoop loop() {
         return loop;
     }
--- a/router/src/main/java/org/siskintiller/router/request/RequestTask.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTask.java
@@ -107,7 +107,15 @@
             return;
         }
         EventLog.log(
-                LogEvent.REQUEST_GIVEN_UP, "request", request.requestId(), "instance", instance, "ms", elapsedMs());
+                LogEvent.REQUEST_GIVEN_UP,
+                "request",
+                request.requestId(),
+                "instance",
+                instance,
+                "ms",
+                elapsedMs(),
+                "lag_ms",
+                router.lagMs());
         cancelCurrentAttempt();
         end(false);
     }
@@ -297,6 +305,8 @@
                 parkedNs / 1_000_000,
                 "internal",
                 request.internal(),
+                "lag_ms",
+                router.lagMs(),
                 "config",
                 router.routesVersion());
     }
--- a/router/src/test/java/org/siskintiller/router/ingress/CallerServerTest.java
+++ b/router/src/test/java/org/siskintiller/router/ingress/CallerServerTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -32,7 +33,7 @@
 
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) loops.next();
-    private final LoopLag lag = new LoopLag(loop);
+    private final LoopLag lag = new LoopLag(loop, new MetricRegistry());
     private final AtomicInteger handled = new AtomicInteger();
     private final CountDownLatch callerDisconnected = new CountDownLatch(1);
     private final CallerServer server =
