--- a/router/src/main/java/org/siskintiller/router/Sockets.java
+++ b/router/src/main/java/org/siskintiller/router/Sockets.java
@@ -9,6 +9,8 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import org.siskintiller.core.model.Address;
@@ -28,6 +30,7 @@
                     .channel(NioServerSocketChannel.class)
                     .option(ChannelOption.SO_BACKLOG, BACKLOG)
                     .option(ChannelOption.SO_REUSEADDR, true)
+                    .option(ChannelOption.RECVBUF_ALLOCATOR, acceptAll())
                     .childOption(ChannelOption.TCP_NODELAY, true)
                     .childHandler(initializer)
                     .bind(address.host(), address.port())
@@ -44,6 +47,11 @@
         }
     }
 
+    /** Accepts all waiting connections at once, so that none waits for several reads after a stall. */
+    private static RecvByteBufAllocator acceptAll() {
+        return new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG);
+    }
+
     /** Connects to the address and sets up the connection. */
     public static ChannelFuture connect(
             EventLoop loop, Address address, int connectTimeoutMs, ChannelHandler initializer) {
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -170,7 +170,7 @@
             channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
         head = request;
-        arrivedNs = System.nanoTime();
+        arrivedNs = server.lag().earliestArrivalNs();
     }
 
     private void appendBody(HttpContent content) {
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -153,7 +153,7 @@
         private void request(CompanionProto.Request request) {
             Stream stream = new Stream(this, request.getStream());
             streams.put(stream.id, stream);
-            ForwardedRequest forwarded = Frames.request(request, System.nanoTime());
+            ForwardedRequest forwarded = Frames.request(request, lag.earliestArrivalNs());
             lag.runAfterPendingReads(() -> send(forwarded, stream));
         }
 
--- a/router/src/test/java/org/siskintiller/router/ingress/CallerServerTest.java
+++ b/router/src/test/java/org/siskintiller/router/ingress/CallerServerTest.java
@@ -25,10 +25,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-/** The path of a request selects what the handler does: /slow, /fast, /cut and /never. */
+/** The path of a request selects what the handler does: /slow, /fast, /age, /cut and /never. */
 class CallerServerTest {
     private static final int READ_TIMEOUT_MS = 5_000;
     private static final long SLOW_MS = 300;
+    private static final long STALL_MS = 500;
     private static final int MAX_HEADER_BYTES = 1_000;
 
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -78,17 +79,34 @@
         void dropsARequestWhoseCallerDisconnectedDuringAStall() throws Exception {
             lag.start();
             loop.submit(() -> {}).get();
-            CountDownLatch stalled = new CountDownLatch(1);
-            loop.execute(() -> {
-                stalled.countDown();
-                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(500));
-            });
-            stalled.await();
+            stall();
             send(get("/never")).close();
 
             Thread.sleep(800);
             assertThat(handled.get()).isEqualTo(0);
         }
+
+        /** Guards against a timeout that starts only when the request is read, so that its response is late. */
+        @Test
+        void countsTheTimeThatARequestWaitedUnread() throws Exception {
+            lag.start();
+            loop.submit(() -> {}).get();
+            try (Socket socket = send(get("/age") + get("/close"))) {
+                assertThat(age(bodies(socket))).isLessThan(STALL_MS / 2);
+            }
+            stall();
+            try (Socket socket = send(get("/age") + get("/close"))) {
+                assertThat(age(bodies(socket))).isAtLeast(STALL_MS / 2);
+            }
+            Thread.sleep(STALL_MS);
+            try (Socket socket = send(get("/age") + get("/close"))) {
+                assertThat(age(bodies(socket))).isLessThan(STALL_MS / 2);
+            }
+        }
+
+        private long age(String body) {
+            return Long.parseLong(body.replace("[", "").replace("]", "").trim());
+        }
     }
 
     @Nested
@@ -165,6 +183,7 @@
                 response.data("part".getBytes(StandardCharsets.UTF_8), false);
                 loop.schedule(response::abort, SLOW_MS, TimeUnit.MILLISECONDS);
             }
+            case "/age" -> respond(String.valueOf((System.nanoTime() - request.arrivedNs()) / 1_000_000), response);
             case "/never" -> {
                 return callerDisconnected::countDown;
             }
@@ -175,11 +194,25 @@
 
     /** Responds in parts, as responses of backend servers arrive. */
     private static void respond(CallerRequest request, CallerResponse response) {
-        byte[] body = ("[" + request.uri() + "]").getBytes(StandardCharsets.UTF_8);
+        respond(request.uri(), response);
+    }
+
+    private static void respond(String text, CallerResponse response) {
+        byte[] body = ("[" + text + "]").getBytes(StandardCharsets.UTF_8);
         response.start(new ResponseHead(200, List.of(), body.length));
         response.data(body, true);
     }
 
+    /** Returns when the stall has begun. */
+    private void stall() throws InterruptedException {
+        CountDownLatch stalled = new CountDownLatch(1);
+        loop.execute(() -> {
+            stalled.countDown();
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(STALL_MS));
+        });
+        stalled.await();
+    }
+
     private Socket send(String bytes) throws IOException {
         Socket socket = new Socket("127.0.0.1", server.port());
         socket.setSoTimeout(READ_TIMEOUT_MS);
