Read cancellations after a stall before queued and parked requests are sent

What callers saw: work for callers that had disconnected (GONE). A stall may end in a timer or a task, which sent queued or parked requests before the cancellations of their callers had been read. Change: the gate and the parked requests wait for a read of the sockets while there may be a backlog. Evidence: BackendGateTest failed before with two requests at the backend server instead of one, and passes now.

--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -68,6 +68,7 @@
     private long unreachableUntilNs = Long.MIN_VALUE;
     private long sequence;
     private boolean sweepScheduled;
+    private boolean dispatchScheduled;
     private boolean stopping;
 
     public BackendGate(
@@ -364,8 +365,20 @@
         call.refuse(new Refusal(reason, retryAfterMs, false));
     }
 
-    /** Sends queued requests while slots are free. */
+    /** Sends queued requests while slots are free. After a stall, cancellations that are still unread go first. */
     private void dispatchQueued() {
+        if (!lag.hasBacklog()) {
+            dispatchNow();
+        } else if (!dispatchScheduled) {
+            dispatchScheduled = true;
+            lag.runAfterPendingReads(() -> {
+                dispatchScheduled = false;
+                dispatchNow();
+            });
+        }
+    }
+
+    private void dispatchNow() {
         long nowNs = System.nanoTime();
         grantWaiters.removeGranted(nowNs).forEach(call -> admit(call, nowNs));
         while (true) {
--- a/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
@@ -104,6 +104,10 @@
 
     /** Retries parked requests after a change of key holders or connections. */
     public void backendsChanged() {
+        lag.runAfterPendingReads(this::attemptParked);
+    }
+
+    private void attemptParked() {
         for (RequestTask task : List.copyOf(parkedTasks)) {
             parkedTasks.remove(task);
             task.attempt();
