Do not take a repeated refusal without an id for the current request

Cause: an error response without a request id counted as the response to the current request, also on a reused connection, where it may be an earlier refusal that is written once more. A refusal with another id was discarded already. Change: a response without an id counts only as the first response of a connection. On a reused one it is discarded, and the response to the request is awaited. Evidence: BackendConnectionTest provesNothingWithoutAnId, ...BeforeTheConnectionEnds and doesNotPassOnAnErrorWithoutAnId failed before ('rejected with 503', '500') and pass now.

--- a/router/src/main/java/org/siskintiller/router/backend/BackendConnection.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendConnection.java
@@ -46,6 +46,7 @@
     private BackendExchange exchange;
     private boolean discarding;
     private boolean rejected;
+    private boolean hasEndedExchange;
     private int status;
     private boolean reusable = true;
     private boolean closeDelimited;
@@ -157,9 +158,7 @@
         reportLoad(response.headers());
         updateReusability(response);
         String id = response.headers().get(names.requestId());
-        boolean idMatches = exchange.request().requestId().equals(id);
-        // Only an error response may lack the id: a full backend server may reject a request before it has parsed it.
-        if (!idMatches && (id != null || status < FIRST_ERROR_STATUS)) {
+        if (!exchange.request().requestId().equals(id) && !mayLackId(id)) {
             EventLog.log(
                     LogEvent.RESPONSE_DISCARDED,
                     "request",
@@ -181,6 +180,14 @@
         }
     }
 
+    /**
+     * Whether a response without an id may belong to the request. A full backend server may reject a request before it has
+     * parsed it. On a reused connection such a response may be a repeated one to an earlier request.
+     */
+    private boolean mayLackId(String id) {
+        return id == null && status >= FIRST_ERROR_STATUS && !hasEndedExchange;
+    }
+
     private void handleContent(HttpContent content) {
         if (exchange == null) {
             if (content.content().isReadable()) {
@@ -225,6 +232,7 @@
         BackendExchange endedExchange = exchange;
         exchange = null;
         rejected = false;
+        hasEndedExchange = true;
         channel.config().setAutoRead(true);
         if (!reusable) {
             close();
--- /dev/null
+++ b/router/src/test/java/org/siskintiller/router/backend/BackendConnectionTest.java
@@ -0,0 +1,170 @@
+package org.siskintiller.router.backend;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.siskintiller.router.request.HeaderNames;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/** Responses of a faulty backend server. Requests are sent one after the other on the connections of one pool. */
+class BackendConnectionTest {
+    private static final HeaderNames NAMES = new HeaderNames(
+            "request-id", "deadline-ms", "expected-instance", "caller-service", "key", "not-executed", "load");
+    /** Time within which bytes that follow a response have arrived. */
+    private static final long ARRIVAL_MS = 100;
+
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) loops.next();
+    private ScriptedServer server;
+    private BackendPool pool;
+
+    @AfterEach
+    void close() throws IOException {
+        server.close();
+        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    @Nested
+    class RepeatedRefusal {
+        /** Guards against a refusal of an earlier request that is taken for the response to a later one. */
+        @Test
+        void isNotTakenForTheResponseToTheNextRequest() throws Exception {
+            start((response, number) -> {
+                if (number == 1) {
+                    response.write(refusal("a"));
+                    return;
+                }
+                response.write(refusal("a"));
+                response.write(success("b", "ran"));
+            });
+
+            assertThat(send("a").outcome()).isEqualTo("rejected with 503");
+            assertThat(send("b").outcome()).isEqualTo("200 ran");
+        }
+
+        /** Guards against "not run" for a request that runs while a refusal without an id is repeated. */
+        @Test
+        void provesNothingWithoutAnId() throws Exception {
+            start((response, number) -> {
+                response.write(refusalWithoutId());
+                if (number == 2) {
+                    response.write(success("b", "ran"));
+                }
+            });
+
+            assertThat(send("a").outcome()).isEqualTo("rejected with 503");
+            assertThat(send("b").outcome()).isEqualTo("200 ran");
+        }
+
+        /** As above, where the request gets no response of its own. */
+        @Test
+        void provesNothingWithoutAnIdBeforeTheConnectionEnds() throws Exception {
+            start((response, number) -> {
+                response.write(refusalWithoutId());
+                if (number == 2) {
+                    response.end();
+                }
+            });
+
+            assertThat(send("a").outcome()).isEqualTo("rejected with 503");
+            assertThat(send("b").outcome()).isEqualTo(RecordedExchange.FAILED);
+        }
+
+        /** Guards against an error of an earlier request that reaches the caller of a later one. */
+        @Test
+        void doesNotPassOnAnErrorWithoutAnId() throws Exception {
+            start((response, number) -> {
+                if (number == 2) {
+                    response.write("HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n");
+                }
+                response.write(success(number == 1 ? "a" : "b", "ran"));
+            });
+
+            assertThat(send("a").outcome()).isEqualTo("200 ran");
+            assertThat(send("b").outcome()).isEqualTo("200 ran");
+        }
+
+        /** Guards against a request on a connection whose next bytes belong to an earlier one. */
+        @Test
+        void closesTheIdleConnection() throws Exception {
+            start((response, number) -> {
+                response.write(refusal("a"));
+                ScriptedServer.Response.pause(ARRIVAL_MS / 2);
+                response.write(refusal("a"));
+            });
+
+            assertThat(send("a").outcome()).isEqualTo("rejected with 503");
+            Thread.sleep(ARRIVAL_MS);
+            assertThat(send("a").outcome()).isEqualTo("rejected with 503");
+            assertThat(server.connections()).isEqualTo(2);
+        }
+    }
+
+    @Nested
+    class TruncatedResponse {
+        /** Guards against a response that was cut in its head or body and reaches the caller as a complete one. */
+        @Test
+        void isNeverComplete() throws Exception {
+            String whole = success("a", "whole");
+            start((response, number) -> {
+                response.write(whole.substring(0, number - 1));
+                response.end();
+            });
+            for (int length = 0; length < whole.length(); length++) {
+                assertWithMessage("%s of %s bytes", length, whole.length())
+                        .that(send("a").outcome())
+                        .isEqualTo(RecordedExchange.FAILED);
+            }
+        }
+
+        /** As above for a response in chunks. */
+        @Test
+        void isNeverCompleteInChunks() throws Exception {
+            String whole = "HTTP/1.1 200 OK\r\nrequest-id: a\r\ntransfer-encoding: chunked\r\n\r\n"
+                    + "5\r\nwhole\r\n0\r\n\r\n";
+            start((response, number) -> {
+                response.write(whole.substring(0, number - 1));
+                response.end();
+            });
+            for (int length = 0; length < whole.length(); length++) {
+                assertWithMessage("%s of %s bytes", length, whole.length())
+                        .that(send("a").outcome())
+                        .isEqualTo(RecordedExchange.FAILED);
+            }
+        }
+    }
+
+    private void start(ScriptedServer.Script script) throws IOException {
+        server = new ScriptedServer(script);
+        pool = new BackendPool(server.address(), loop, NAMES, new MetricRegistry());
+    }
+
+    private RecordedExchange send(String id) {
+        RecordedExchange exchange = new RecordedExchange(id);
+        loop.execute(() -> pool.acquire(connection -> connection.send(exchange, System.nanoTime())));
+        return exchange;
+    }
+
+    private static String success(String id, String body) {
+        return "HTTP/1.1 200 OK\r\nrequest-id: " + id + "\r\nkeep-alive: timeout=10\r\ncontent-length: " + body.length()
+                + "\r\n\r\n" + body;
+    }
+
+    private static String refusal(String id) {
+        return "HTTP/1.1 503 Full\r\nrequest-id: " + id
+                + "\r\nkeep-alive: timeout=10\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
+    }
+
+    private static String refusalWithoutId() {
+        return "HTTP/1.1 503 Full\r\nkeep-alive: timeout=10\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/siskintiller/router/backend/RecordedExchange.java
@@ -0,0 +1,83 @@
+package org.siskintiller.router.backend;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.siskintiller.core.path.RequestKind;
+import org.siskintiller.router.request.ForwardedRequest;
+import org.siskintiller.router.request.ResponseHead;
+
+/** Exchange that records its outcome as a text: the status and body, or the rejection or failure. */
+final class RecordedExchange implements BackendExchange {
+    static final String FAILED = "failed";
+
+    private static final long TIMEOUT_MS = 5_000;
+
+    private final ForwardedRequest request;
+    private final CompletableFuture<String> outcome = new CompletableFuture<>();
+    private final StringBuilder body = new StringBuilder();
+    private int status;
+
+    RecordedExchange(String id) {
+        long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        request = new ForwardedRequest(
+                id,
+                "service",
+                "GET",
+                "/",
+                List.of(),
+                new byte[0],
+                deadlineNs,
+                deadlineNs,
+                0,
+                RequestKind.NON_IDEMPOTENT,
+                false,
+                ForwardedRequest.NO_KEY,
+                0);
+    }
+
+    /** Waits for the outcome. */
+    String outcome() throws ExecutionException, InterruptedException, TimeoutException {
+        return outcome.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public ForwardedRequest request() {
+        return request;
+    }
+
+    @Override
+    public String expectedInstance() {
+        return "instance";
+    }
+
+    @Override
+    public void started(ResponseHead head) {
+        status = head.status();
+    }
+
+    @Override
+    public void data(byte[] data, boolean last) {
+        body.append(new String(data, StandardCharsets.ISO_8859_1));
+        if (last) {
+            outcome.complete(status + " " + body);
+        }
+    }
+
+    @Override
+    public void rejected(int rejectionStatus) {
+        outcome.complete("rejected with " + rejectionStatus);
+    }
+
+    @Override
+    public void connectionFailed(String detail) {
+        outcome.complete(FAILED);
+    }
+
+    @Override
+    public void loadReported(int running, int waiting, int slots) {}
+}
