Limit bytes of a backend server that belong to no response

Cause: line breaks, interim responses, the body of a refusal and the body of another request's response were read until the deadline. An idle connection kept a partial line, to which the response to the next request was joined, and it skipped line breaks without limit. Change: ResponseDecoder closes a connection that receives bytes without a request, and counts the bytes before the head of a response (1 MiB, 16 interim responses). A refusal is reported with its head; its body is read up to 64 KiB so that the connection can be reused. Evidence: BackendConnectionTest EndlessBytes: areNotJoinedToTheNextResponse, ofInterimResponsesFailTheRequest, inTheBodyOfARefusalDoNotDelayIt and inTheBodyOfAnotherResponseFailTheRequest failed before and pass now; the tests of router pass.

--- a/router/src/main/java/org/siskintiller/router/backend/BackendConnection.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendConnection.java
@@ -39,14 +39,25 @@
     private static final long DEFAULT_IDLE_TIMEOUT_NS = 500_000_000L;
     /** A connection is not reused in the last part of a stated idle timeout: the backend server may be closing it. */
     private static final long IDLE_MARGIN_NS = 1_000_000_000L;
+    /** Limit of the bytes that precede the head of a response, such as a late response to an earlier request. */
+    private static final int MAX_BYTES_BEFORE_RESPONSE = 1024 * 1024;
+    /** Limit of the body of a rejection, which is read so that the connection can be reused. */
+    private static final int MAX_REJECTION_BYTES = 64 * 1024;
+
+    private static final int MAX_INTERIM_RESPONSES = 16;
 
     private final HeaderNames names;
     private final BackendPool pool;
     private Channel channel;
     private BackendExchange exchange;
     private boolean discarding;
-    private boolean rejected;
+    /** Whether the rest of a rejection is being read. Its exchange has ended. */
+    private boolean draining;
+
+    private boolean responseStarted;
     private boolean hasEndedExchange;
+    private int surplusBytes;
+    private int interimResponses;
     private int status;
     private boolean reusable = true;
     private boolean closeDelimited;
@@ -64,12 +75,15 @@
     }
 
     boolean isReusable(long nowNs) {
-        return channel.isActive() && exchange == null && reusable && nowNs < reusableUntilNs;
+        return channel.isActive() && exchange == null && !draining && reusable && nowNs < reusableUntilNs;
     }
 
     /** Sends a request. The exchange receives the response, a rejection or a failure. */
     void send(BackendExchange newExchange, long nowNs) {
         exchange = newExchange;
+        responseStarted = false;
+        surplusBytes = 0;
+        interimResponses = 0;
         uncreditedBytes = 0;
         ForwardedRequest request = newExchange.request();
         ByteBuf body = request.body().length == 0 ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(request.body());
@@ -114,6 +128,31 @@
         }
     }
 
+    /** Whether bytes that are received now can belong to a response. */
+    boolean awaitsBytes() {
+        return exchange != null || draining;
+    }
+
+    /** Whether the response has no body because of the method of its request. */
+    boolean awaitsNoBody() {
+        return exchange != null && exchange.request().method().equals("HEAD");
+    }
+
+    void unexpectedBytesReceived() {
+        discardAndClose("bytes without a request");
+    }
+
+    /** Counts decoded bytes. Those of a response that is passed on are limited by its receiver. */
+    void bytesDecoded(int bytes) {
+        if (exchange != null && responseStarted || !awaitsBytes()) {
+            return;
+        }
+        surplusBytes += bytes;
+        if (surplusBytes > (draining ? MAX_REJECTION_BYTES : MAX_BYTES_BEFORE_RESPONSE)) {
+            discardAndClose(surplusBytes + " bytes that belong to no response");
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
@@ -153,6 +192,9 @@
         discarding = false;
         if (status < FIRST_FINAL_STATUS) {
             discarding = true;
+            if (++interimResponses > MAX_INTERIM_RESPONSES) {
+                discardAndClose("more than " + MAX_INTERIM_RESPONSES + " interim responses");
+            }
             return;
         }
         reportLoad(response.headers());
@@ -171,13 +213,16 @@
             reusable = false;
             return;
         }
-        rejected = status == MISDIRECTED || response.headers().contains(names.notExecuted());
-        if (!rejected) {
-            long length = HttpUtil.isTransferEncodingChunked(response)
-                    ? ResponseHead.UNKNOWN_LENGTH
-                    : HttpUtil.getContentLength(response, ResponseHead.UNKNOWN_LENGTH);
-            exchange.started(new ResponseHead(status, HopByHopHeaders.endToEnd(response.headers(), Set.of()), length));
+        if (status == MISDIRECTED || response.headers().contains(names.notExecuted())) {
+            draining = true;
+            endExchange().rejected(status);
+            return;
         }
+        responseStarted = true;
+        long length = HttpUtil.isTransferEncodingChunked(response)
+                ? ResponseHead.UNKNOWN_LENGTH
+                : HttpUtil.getContentLength(response, ResponseHead.UNKNOWN_LENGTH);
+        exchange.started(new ResponseHead(status, HopByHopHeaders.endToEnd(response.headers(), Set.of()), length));
     }
 
     /**
@@ -189,13 +234,14 @@
     }
 
     private void handleContent(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (draining) {
+            drain(content, last);
+            return;
+        }
         if (exchange == null) {
-            if (content.content().isReadable()) {
-                discardAndClose("bytes without a request");
-            }
             return;
         }
-        boolean last = content instanceof LastHttpContent;
         if (content.decoderResult().isFailure() || last && closeDelimited && readFailed) {
             fail("the response of the backend server is malformed: " + content.decoderResult());
             close();
@@ -205,14 +251,6 @@
             discarding = !last;
             return;
         }
-        if (rejected) {
-            if (last) {
-                BackendExchange endedExchange = endExchange();
-                endedExchange.rejected(status);
-                pool.release(this);
-            }
-            return;
-        }
         byte[] data = new byte[content.content().readableBytes()];
         content.content().readBytes(data);
         if (!last) {
@@ -228,11 +266,21 @@
         pool.release(this);
     }
 
+    /** Reads on after a rejection, so that the connection can be reused. */
+    private void drain(HttpContent content, boolean last) {
+        if (content.decoderResult().isFailure()) {
+            close();
+        } else if (last) {
+            draining = false;
+            pool.release(this);
+        }
+    }
+
     private BackendExchange endExchange() {
         BackendExchange endedExchange = exchange;
         exchange = null;
-        rejected = false;
         hasEndedExchange = true;
+        surplusBytes = 0;
         channel.config().setAutoRead(true);
         if (!reusable) {
             close();
--- a/router/src/main/java/org/siskintiller/router/backend/BackendPool.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendPool.java
@@ -9,8 +9,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.siskintiller.core.model.Address;
 import org.siskintiller.router.Sockets;
 import org.siskintiller.router.request.HeaderNames;
@@ -20,8 +19,6 @@
     /** The backend server is on the same machine, where a connection takes about 1 ms. */
     private static final int CONNECT_TIMEOUT_MS = 400;
 
-    private static final int MAX_HEADER_BYTES = 65_536;
-
     private final Address address;
     private final EventLoop loop;
     private final HeaderNames names;
@@ -69,12 +66,12 @@
     private void connect(Consumer<BackendConnection> receiver) {
         connects.inc();
         BackendConnection connection = new BackendConnection(names, this);
-        HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
         Sockets.connect(loop, address, CONNECT_TIMEOUT_MS, new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         connection.attach(channel);
-                        channel.pipeline().addLast(new HttpClientCodec(decoder, false, false), connection);
+                        channel.pipeline()
+                                .addLast(new ResponseDecoder(connection), new HttpRequestEncoder(), connection);
                     }
                 })
                 .addListener(connected -> receiver.accept(connected.isSuccess() ? connection : null));
--- a/router/src/test/java/org/siskintiller/router/backend/BackendConnectionTest.java
+++ b/router/src/test/java/org/siskintiller/router/backend/BackendConnectionTest.java
@@ -22,6 +22,10 @@
     /** Time within which bytes that follow a response have arrived. */
     private static final long ARRIVAL_MS = 100;
 
+    private static final long CLOSE_TIMEOUT_MS = 5_000;
+    /** Size of one endless line; a header field of this size is within the limits of a response. */
+    private static final String PADDING = "x".repeat(1_000);
+
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) loops.next();
     private ScriptedServer server;
@@ -143,6 +147,100 @@
         }
     }
 
+    @Nested
+    class EndlessBytes {
+        /** Guards against a connection that is read without limit after its response is complete. */
+        @Test
+        void closeAnIdleConnection() throws Exception {
+            start((response, number) -> {
+                response.write(success("a", "ran"));
+                ScriptedServer.Response.pause(ARRIVAL_MS);
+                response.writeEndlessly("\r\n".repeat(50));
+            });
+
+            assertThat(send("a").outcome()).isEqualTo("200 ran");
+            awaitClose();
+        }
+
+        /** Guards against a request that is sent on a connection with a partial line behind the last response. */
+        @Test
+        void areNotJoinedToTheNextResponse() throws Exception {
+            start((response, number) -> response.write(success("a", "ran") + "HTTP/1.1 200 "));
+
+            assertThat(send("a").outcome()).isEqualTo("200 ran");
+            Thread.sleep(ARRIVAL_MS);
+            assertThat(send("a").outcome()).isEqualTo("200 ran");
+            assertThat(server.connections()).isEqualTo(2);
+        }
+
+        /** Guards against a request that waits until its deadline for a head that does not begin. */
+        @Test
+        void beforeTheHeadFailTheRequest() throws Exception {
+            start((response, number) -> response.writeEndlessly("\r\n".repeat(50)));
+
+            assertThat(send("a").outcome()).isEqualTo(RecordedExchange.FAILED);
+            awaitClose();
+        }
+
+        /** Guards against a head of unlimited size. */
+        @Test
+        void inTheHeadFailTheRequest() throws Exception {
+            start((response, number) -> {
+                response.write("HTTP/1.1 200 OK\r\n");
+                response.writeEndlessly("padding: " + PADDING + "\r\n");
+            });
+
+            assertThat(send("a").outcome()).isEqualTo(RecordedExchange.FAILED);
+            awaitClose();
+        }
+
+        /** Guards against a request that waits until its deadline for the end of interim responses. */
+        @Test
+        void ofInterimResponsesFailTheRequest() throws Exception {
+            start((response, number) -> response.writeEndlessly("HTTP/1.1 100 Continue\r\n\r\n"));
+
+            assertThat(send("a").outcome()).isEqualTo(RecordedExchange.FAILED);
+            awaitClose();
+        }
+
+        /** Guards against a refusal that waits for the end of its body. */
+        @Test
+        void inTheBodyOfARefusalDoNotDelayIt() throws Exception {
+            start((response, number) -> {
+                response.write("HTTP/1.1 503 Full\r\nrequest-id: a\r\nnot-executed: 1\r\n"
+                        + "transfer-encoding: chunked\r\n\r\n");
+                response.writeEndlessly("3e8\r\n" + PADDING + "\r\n");
+            });
+
+            assertThat(send("a").outcome()).isEqualTo("rejected with 503");
+            awaitClose();
+        }
+
+        /** Guards against a request that waits until its deadline for the end of another one's response. */
+        @Test
+        void inTheBodyOfAnotherResponseFailTheRequest() throws Exception {
+            start((response, number) -> {
+                response.write("HTTP/1.1 200 OK\r\nrequest-id: other\r\ntransfer-encoding: chunked\r\n\r\n");
+                response.writeEndlessly("3e8\r\n" + PADDING + "\r\n");
+            });
+
+            assertThat(send("a").outcome()).isEqualTo(RecordedExchange.FAILED);
+            awaitClose();
+        }
+
+        /** Guards against a chunk size of unlimited length. */
+        @Test
+        void inAChunkSizeFailTheRequest() throws Exception {
+            start((response, number) -> {
+                response.write("HTTP/1.1 200 OK\r\nrequest-id: a\r\ntransfer-encoding: chunked\r\n\r\n1;");
+                response.writeEndlessly(PADDING);
+            });
+
+            assertThat(send("a").outcome()).isEqualTo(RecordedExchange.FAILED);
+            awaitClose();
+        }
+    }
+
     private void start(ScriptedServer.Script script) throws IOException {
         server = new ScriptedServer(script);
         pool = new BackendPool(server.address(), loop, NAMES, new MetricRegistry());
@@ -154,6 +252,14 @@
         return exchange;
     }
 
+    private void awaitClose() throws InterruptedException {
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CLOSE_TIMEOUT_MS);
+        while (server.closedByClient() == 0 && System.nanoTime() < endNs) {
+            Thread.sleep(10);
+        }
+        assertThat(server.closedByClient()).isAtLeast(1);
+    }
+
     private static String success(String id, String body) {
         return "HTTP/1.1 200 OK\r\nrequest-id: " + id + "\r\nkeep-alive: timeout=10\r\ncontent-length: " + body.length()
                 + "\r\n\r\n" + body;
