Check the id of a response of the backend server, and end bodies at the deadline

Cause: the client of the product's own interface took whatever came next on a reused connection for the response. A repeated refusal made a request that was running 'not run', and a repeated response reached another caller. The deadline covered the head of a response only, so a body without end was read for ever. Change: a response with another id, and a refusal without one, counts as a broken connection. The body is closed at the deadline. The backend server of the tests repeats the id, as the stand-in does; design.md says so. Evidence: BackendClientTest: the three tests of RepeatedRefusal failed before with NotRun and Answered, and inTheBodyEndAtTheDeadline ran for more than 10 s after a deadline of 2 s. All pass now, with the other tests of node. A response that is cut in its head does not happen to look complete here (TruncatedResponse passed before). While the test was written, a run without its own bound hung for 10 minutes and one used up the heap of the test's receiver.

--- a/node/src/main/java/org/siskintiller/node/backend/BackendClient.java
+++ b/node/src/main/java/org/siskintiller/node/backend/BackendClient.java
@@ -22,6 +22,8 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -42,6 +44,7 @@
     /** Larger responses are not stored for repeats of the same idempotency key. */
     static final int MAX_STORED_BODY_BYTES = 16 * 1024;
 
+    private static final String REQUEST_ID_HEADER = "Siskin-Request-Id";
     private static final int FENCE_REJECTED_STATUS = 409;
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
@@ -63,6 +66,7 @@
 
     private final HttpClient client;
     private final ExecutorService threads;
+    private final ScheduledThreadPoolExecutor deadlines;
     private final Semaphore connections;
     private final LongSupplier clockNs;
     private volatile Address address;
@@ -71,11 +75,9 @@
         this.clockNs = clockNs;
         this.address = backendServer.address();
         this.connections = new Semaphore(Math.max(1, backendServer.connections() - CONTROL_CONNECTIONS), true);
-        this.threads = Executors.newCachedThreadPool(task -> {
-            Thread thread = new Thread(task, "backend-client");
-            thread.setDaemon(true);
-            return thread;
-        });
+        this.threads = Executors.newCachedThreadPool(task -> daemon(task, "backend-client"));
+        this.deadlines = new ScheduledThreadPoolExecutor(1, task -> daemon(task, "backend-deadlines"));
+        deadlines.setRemoveOnCancelPolicy(true);
         this.client = HttpClient.newBuilder()
                 .version(HttpClient.Version.HTTP_1_1)
                 .connectTimeout(CONNECT_TIMEOUT)
@@ -84,6 +86,12 @@
                 .build();
     }
 
+    private static Thread daemon(Runnable task, String name) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
     /** Sends later requests to this address, for a backend server that was restarted on another port. */
     public void setAddress(Address newAddress) {
         address = newAddress;
@@ -153,8 +161,17 @@
     }
 
     private DispatchOutcome receive(BackendCall call, HttpResponse<InputStream> response, long startNs) {
+        String id = response.headers().firstValue(REQUEST_ID_HEADER).orElse("");
+        boolean idMatches = id.equals(call.head().id().toString());
+        // Closing a body before its end closes the connection.
         try (InputStream body = response.body()) {
-            if (response.headers().firstValue("Siskin-Outcome").orElse("").equals("not-run")) {
+            boolean notRun =
+                    response.headers().firstValue("Siskin-Outcome").orElse("").equals("not-run");
+            // A repeated response to an earlier request must not count; without an id it cannot be told from one.
+            if (!idMatches && (notRun || !id.isEmpty())) {
+                return new DispatchOutcome.Broken("the response has the id '" + id + "' of another request or none");
+            }
+            if (notRun) {
                 return new DispatchOutcome.NotRun(
                         "the backend server answered " + response.statusCode() + " not-run",
                         response.statusCode() == FENCE_REJECTED_STATUS);
@@ -169,14 +186,27 @@
                 return new DispatchOutcome.Broken("the answer has no length, so a cut could not be seen");
             }
             call.cancel().onCancel(() -> closeQuietly(body));
-            return copyToSink(call, response, body, hasNoBody ? 0 : length, startNs);
+            return copyUntilDeadline(call, response, body, hasNoBody ? 0 : length, startNs);
         } catch (IOException e) {
-            return call.cancel().isCancelled()
+            return call.cancel().isCancelled() || remainingNs(call) <= 0
                     ? new DispatchOutcome.TimedOut()
                     : new DispatchOutcome.Broken("the answer was cut: " + e.getMessage());
         }
     }
 
+    /** A body may have no end, so it is closed at the deadline. */
+    private DispatchOutcome copyUntilDeadline(
+            BackendCall call, HttpResponse<InputStream> response, InputStream body, long length, long startNs)
+            throws IOException {
+        Future<?> deadline =
+                deadlines.schedule(() -> closeQuietly(body), Math.max(0, remainingNs(call)), TimeUnit.NANOSECONDS);
+        try {
+            return copyToSink(call, response, body, length, startNs);
+        } finally {
+            deadline.cancel(false);
+        }
+    }
+
     private DispatchOutcome copyToSink(
             BackendCall call, HttpResponse<InputStream> response, InputStream body, long length, long startNs)
             throws IOException {
@@ -221,7 +251,7 @@
         for (Header header : head.headers()) {
             builder.header(header.name(), header.value());
         }
-        builder.setHeader("Siskin-Request-Id", head.id().toString());
+        builder.setHeader(REQUEST_ID_HEADER, head.id().toString());
         builder.setHeader("Siskin-Deadline-Ms", Long.toString(Math.max(1, remainingNs(call) / 1_000_000)));
         if (call.slot() >= 0) {
             builder.setHeader("Siskin-Slot", Integer.toString(call.slot()));
@@ -304,6 +334,7 @@
     @Override
     public void close() {
         threads.shutdownNow();
+        deadlines.shutdownNow();
     }
 
     /** Copy of a response body up to {@link #MAX_STORED_BODY_BYTES}, for repeats of the request. */
--- a/node/src/test/java/org/siskintiller/node/runtime/FakeBackend.java
+++ b/node/src/test/java/org/siskintiller/node/runtime/FakeBackend.java
@@ -39,6 +39,8 @@
         executed.add(exchange.getRequestHeaders().getFirst("Siskin-Key") + " "
                 + exchange.getRequestHeaders().getFirst("Siskin-Fence") + " "
                 + exchange.getRequestHeaders().getFirst("Idempotency-Key"));
+        exchange.getResponseHeaders()
+                .set("Siskin-Request-Id", exchange.getRequestHeaders().getFirst("Siskin-Request-Id"));
         byte[] body = exchange.getRequestBody().readAllBytes();
         String path = exchange.getRequestURI().getPath();
         if (path.startsWith("/cut")) {
