--- a/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
+++ b/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
@@ -13,6 +13,8 @@
     private static final long MIN_RETRY_DELAY_MS = 150;
     /** Maximum delay: records must be read within about 2 s after the store becomes available again. */
     private static final long MAX_RETRY_DELAY_MS = 800;
+    /** Interval at which a store that stays unavailable is logged again with the cause. */
+    private static final long FAILURE_LOG_INTERVAL_NS = TimeUnit.SECONDS.toNanos(2);
 
     private final RecordStore store;
     private final StoreTopic topic;
@@ -26,6 +28,8 @@
     private boolean hasCompletedCall;
     private long lastContactNs;
     private long retryDelayMs = MIN_RETRY_DELAY_MS;
+    private int failuresInSuccession;
+    private long lastFailureLogNs;
 
     /**
      * Creates a feed.
@@ -100,7 +104,7 @@
             read();
             return;
         }
-        storeFailed(result);
+        storeFailed(result, sentNs);
         long jitterMs = (sentNs >>> 10) % MIN_RETRY_DELAY_MS;
         loop.schedule(this::read, retryDelayMs + jitterMs, TimeUnit.MILLISECONDS);
         retryDelayMs = Math.min(MAX_RETRY_DELAY_MS, retryDelayMs * 2);
@@ -117,15 +121,37 @@
     private void storeReached() {
         retryDelayMs = MIN_RETRY_DELAY_MS;
         if (!reachable) {
-            EventLog.log(LogEvent.LOG_AVAILABLE, "topic", topic, "first", !hasCompletedCall);
+            EventLog.log(
+                    LogEvent.LOG_AVAILABLE,
+                    "topic",
+                    topic,
+                    "first",
+                    !hasCompletedCall,
+                    "failures",
+                    failuresInSuccession);
         }
+        failuresInSuccession = 0;
         reachable = true;
         hasCompletedCall = true;
     }
 
-    private void storeFailed(StoreResult<RecordBatch> result) {
-        if (reachable || !hasCompletedCall) {
-            EventLog.log(LogEvent.LOG_UNAVAILABLE, "topic", topic, "position", nextOffset, "cause", result.toString());
+    private void storeFailed(StoreResult<RecordBatch> result, long sentNs) {
+        failuresInSuccession++;
+        long nowNs = System.nanoTime();
+        if (failuresInSuccession == 1 || nowNs - lastFailureLogNs >= FAILURE_LOG_INTERVAL_NS) {
+            lastFailureLogNs = nowNs;
+            EventLog.log(
+                    LogEvent.LOG_UNAVAILABLE,
+                    "topic",
+                    topic,
+                    "position",
+                    nextOffset,
+                    "failures",
+                    failuresInSuccession,
+                    "took_ms",
+                    TimeUnit.NANOSECONDS.toMillis(nowNs - sentNs),
+                    "cause",
+                    result.toString());
         }
         reachable = false;
         hasCompletedCall = true;
