Abandon a read of the store that does not deliver records which others know

Cause: in a fleet of 91 companions a read waits for 17 s. A connection that delivers nothing and is not reset was detected only by the timeout of that read, while a configuration must be in force within 5 s. Change: the status of other companions, of which one arrives every 30 ms at that size, reveals newer records. A read that has not delivered them after 1 s is abandoned and sent again; a late result is ignored. No call is added while connections work.

--- a/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
+++ b/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
@@ -96,6 +96,11 @@
         router.apply(next);
     }
 
+    /** Reports that another companion has a newer version in force. */
+    public void newerVersionExists() {
+        feed.newerRecordsExist();
+    }
+
     /** Configuration in force, or null while none is known. */
     public RouteTable routes() {
         return routes;
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -325,6 +325,12 @@
             lastAuthorityMessageNs = System.nanoTime();
             authorityStoreAgeNs = status.storeAgeMs() * 1_000_000;
         }
+        if (status.configVersion() > config.version()) {
+            config.newerVersionExists();
+        }
+        if (status.recordsEnd() > state.end()) {
+            feed.newerRecordsExist();
+        }
         if (status.storeAgeMs() > STALE_STORE_CONTACT_MS && peers.suppliesUpdatesTo(client.instance())) {
             if (status.recordsEnd() < state.end()) {
                 client.shareRecords(state.records());
--- a/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
+++ b/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
@@ -16,6 +16,12 @@
     /** Interval at which a store that stays unavailable is logged again with the cause. */
     private static final long FAILURE_LOG_INTERVAL_NS = TimeUnit.SECONDS.toNanos(2);
 
+    /**
+     * Time after which a read is abandoned that does not deliver records which another companion knows. A store delivers
+     * them within some 100 ms.
+     */
+    private static final long STALE_READ_NS = TimeUnit.SECONDS.toNanos(1);
+
     private final RecordStore store;
     private final StoreTopic topic;
     private final EventLoop loop;
@@ -29,6 +35,14 @@
     private long lastContactNs;
     private long retryDelayMs = MIN_RETRY_DELAY_MS;
     private int failuresInSuccession;
+    /** Number of the latest read. The result of an earlier one, which was abandoned, is ignored. */
+    private int reads;
+
+    private boolean readPending;
+    private long readSentNs;
+    /** Time from which another companion is known to have newer records; 0 while none is. */
+    private long behindSinceNs;
+
     private long lastFailureLogNs;
 
     /**
@@ -71,16 +85,47 @@
         return lastContactNs;
     }
 
+    /**
+     * Reports that another companion knows newer records. A pending read that does not deliver them is abandoned: its
+     * connection may have failed without a reset, which its timeout reveals only after the wait for records.
+     */
+    public void newerRecordsExist() {
+        long nowNs = System.nanoTime();
+        if (behindSinceNs == 0) {
+            behindSinceNs = nowNs;
+        }
+        boolean isStale = nowNs - Math.max(behindSinceNs, readSentNs) >= STALE_READ_NS;
+        if (readPending && isStale) {
+            EventLog.log(
+                    LogEvent.LOG_UNAVAILABLE,
+                    "topic",
+                    topic,
+                    "position",
+                    nextOffset,
+                    "cause",
+                    "a read did not deliver records that another companion knows");
+            read();
+        }
+    }
+
     private void read() {
+        int number = ++reads;
         long sentNs = System.nanoTime();
+        readPending = true;
+        readSentNs = sentNs;
         if (hasPosition) {
-            store.read(topic, nextOffset, readWaitMs.getAsLong(), result -> handleResult(result, sentNs));
+            store.read(topic, nextOffset, readWaitMs.getAsLong(), result -> handleResult(result, number, sentNs));
         } else {
-            store.newest(topic, result -> handleResult(result, sentNs));
+            store.newest(topic, result -> handleResult(result, number, sentNs));
         }
     }
 
-    private void handleResult(StoreResult<RecordBatch> result, long sentNs) {
+    private void handleResult(StoreResult<RecordBatch> result, int number, long sentNs) {
+        if (number != reads) {
+            return;
+        }
+        readPending = false;
+        behindSinceNs = 0;
         if (result instanceof StoreResult.Success<RecordBatch> success) {
             lastContactNs = sentNs;
             storeReached();
--- /dev/null
+++ b/router/src/test/java/org/siskintiller/router/store/TopicFeedTest.java
@@ -0,0 +1,83 @@
+package org.siskintiller.router.store;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class TopicFeedTest {
+    /** Wait of a read in a fleet of 91 companions. */
+    private static final long READ_WAIT_MS = 17_000;
+    /** Time within which a new configuration must be in force. */
+    private static final long IN_FORCE_MS = 5_000;
+
+    private static final long STATUS_INTERVAL_MS = 100;
+
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) loops.next();
+    private final SilentStore store = new SilentStore();
+    private final CountDownLatch delivered = new CountDownLatch(1);
+    private final TopicFeed feed = new TopicFeed(
+            store, StoreTopic.OPERATOR, loop, () -> READ_WAIT_MS, () -> 0, record -> delivered.countDown());
+
+    @AfterEach
+    void close() {
+        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    /** Guards against a configuration that waits for the timeout of a read whose connection delivers nothing. */
+    @Test
+    void abandonsAReadThatDoesNotDeliverKnownRecords() throws Exception {
+        loop.execute(feed::start);
+        loop.scheduleAtFixedRate(
+                feed::newerRecordsExist, STATUS_INTERVAL_MS, STATUS_INTERVAL_MS, TimeUnit.MILLISECONDS);
+
+        assertThat(delivered.await(IN_FORCE_MS, TimeUnit.MILLISECONDS)).isTrue();
+    }
+
+    /** Guards against additional calls to the store in a fleet whose connections work. */
+    @Test
+    void keepsAReadWhileNoNewerRecordsAreKnown() throws Exception {
+        loop.execute(feed::start);
+        Thread.sleep(2_000);
+
+        assertThat(store.readCount()).isEqualTo(1);
+    }
+
+    /** Store whose first read is never answered. */
+    private static final class SilentStore implements RecordStore {
+        private final List<Long> reads = new ArrayList<>();
+
+        synchronized int readCount() {
+            return reads.size();
+        }
+
+        @Override
+        public void newest(StoreTopic topic, Consumer<StoreResult<RecordBatch>> result) {
+            result.accept(new StoreResult.Success<>(new RecordBatch(List.of(), 1)));
+        }
+
+        @Override
+        public synchronized void read(
+                StoreTopic topic, long fromOffset, long waitMs, Consumer<StoreResult<RecordBatch>> result) {
+            reads.add(fromOffset);
+            if (reads.size() == 2) {
+                StoredRecord record = new StoredRecord("config", new byte[1], fromOffset);
+                result.accept(new StoreResult.Success<>(new RecordBatch(List.of(record), fromOffset + 1)));
+            }
+        }
+
+        @Override
+        public void append(
+                StoreTopic topic, long expectedEnd, String key, byte[] value, Consumer<StoreResult<Long>> result) {}
+    }
+}
