Lengthen the connect timeout between companions while attempts expire

Cause: a companion behind a saturated link is not reached within 700 ms, and each attempt began anew. Change: the timeout doubles with each expiry in succession, up to 2.8 s, and returns to 700 ms with a connection.

--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -18,6 +19,7 @@
 import org.siskintiller.core.gate.Suspicion;
 import org.siskintiller.core.lease.HolderReport;
 import org.siskintiller.core.model.Address;
+import org.siskintiller.core.retry.GrowingTimeout;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.Sockets;
@@ -37,7 +39,10 @@
  * closed, because a link can fail without a reset.
  */
 public final class PeerClient implements Destination {
-    private static final int CONNECT_TIMEOUT_MS = 700;
+    private static final int MIN_CONNECT_TIMEOUT_MS = 700;
+    /** A saturated link delays a connection by seconds. After an outage, TCP repeats the first packet every 2 s at most. */
+    private static final int MAX_CONNECT_TIMEOUT_MS = 2_800;
+
     private static final long MIN_RECONNECT_DELAY_MS = 100;
     private static final long MAX_RECONNECT_DELAY_MS = 800;
     /** If nothing was received for longer, the next request is preceded by a request for the status. */
@@ -63,6 +68,7 @@
     /** Time at which the status of the companion was requested; 0 while no response is pending. */
     private long statusRequestedNs;
 
+    private final GrowingTimeout connectTimeout = new GrowingTimeout(MIN_CONNECT_TIMEOUT_MS, MAX_CONNECT_TIMEOUT_MS);
     private long reconnectDelayMs = MIN_RECONNECT_DELAY_MS;
     private int lastStreamId;
     private boolean closed;
@@ -117,7 +123,7 @@
             return;
         }
         ChannelFuture future =
-                Sockets.connect(loop, address, CONNECT_TIMEOUT_MS, new ChannelInitializer<SocketChannel>() {
+                Sockets.connect(loop, address, connectTimeout.currentMs(), new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel newChannel) {
                         PeerPipeline.add(newChannel.pipeline(), new FrameReader());
@@ -125,9 +131,14 @@
                 });
         channel = future.channel();
         future.addListener(connecting -> {
-            if (!connecting.isSuccess()) {
-                reconnectLater();
+            if (connecting.isSuccess()) {
+                connectTimeout.succeeded();
+                return;
+            }
+            if (connecting.cause() instanceof ConnectTimeoutException) {
+                connectTimeout.expired();
             }
+            reconnectLater();
         });
     }
 
