Move the log lines of the gate to a class of their own

Change: GateLog writes the lines of refused, rejected, failed and cancelled requests, with the same fields (a request whose deadline passed names its backend server too). An abandoned read counts as a failure of the store.

--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -197,7 +197,7 @@
     }
 
     void cancelled(GateCall call) {
-        logCancelled(call);
+        GateLog.cancelled(call, lag.lagMs());
         switch (call.state()) {
             case AWAITING_GRANT -> grantWaiters.remove(call);
             case QUEUED -> dequeue(call);
@@ -218,24 +218,6 @@
         dispatchQueued();
     }
 
-    /** A request that ran for a few milliseconds only was sent after its caller had disconnected. */
-    private void logCancelled(GateCall call) {
-        long nowNs = System.nanoTime();
-        boolean running = call.state() == GateCall.State.RUNNING;
-        EventLog.log(
-                LogEvent.ATTEMPT_CANCELLED,
-                "request",
-                call.request().requestId(),
-                "state",
-                call.state(),
-                "waited_ms",
-                ((running ? call.dispatchedNs() : nowNs) - call.arrivedNs()) / 1_000_000,
-                "ran_ms",
-                running ? (nowNs - call.dispatchedNs()) / 1_000_000 : 0,
-                "lag_ms",
-                lag.lagMs());
-    }
-
     void responseCompleted(GateCall call) {
         long nowNs = System.nanoTime();
         long serviceTimeNs = nowNs - call.dispatchedNs();
@@ -252,16 +234,7 @@
 
     void rejected(GateCall call, int status) {
         finish(call, -1);
-        EventLog.log(
-                LogEvent.ATTEMPT_REFUSED,
-                "request",
-                call.request().requestId(),
-                "by",
-                "backend",
-                "status",
-                status,
-                "running",
-                runningCalls.size());
+        GateLog.rejected(call, status, runningCalls.size());
         call.refuse(new Refusal(RefusalReason.REJECTED, DEFAULT_RETRY_AFTER_MS, true));
         dispatchQueued();
     }
@@ -270,14 +243,7 @@
         long nowNs = System.nanoTime();
         finish(call, -1);
         crashes.connectionLost(call.request().fingerprint(), presence.current().run(), nowNs);
-        EventLog.log(
-                LogEvent.ATTEMPT_FAILED,
-                "request",
-                call.request().requestId(),
-                "cause",
-                detail,
-                "backend",
-                presence.current().id());
+        GateLog.failed(call, detail, presence.current().id());
         call.fail(new SendFailure(detail, false));
         dispatchQueued();
     }
@@ -344,24 +310,7 @@
 
     private void refuse(GateCall call, RefusalReason reason, long retryAfterMs) {
         refusals.inc();
-        EventLog.log(
-                LogEvent.ATTEMPT_REFUSED,
-                "request",
-                call.request().requestId(),
-                "by",
-                "gate",
-                "reason",
-                reason,
-                "rank",
-                call.rank(),
-                "queued",
-                queuedCount(),
-                "running",
-                runningCalls.size(),
-                "mean_ms",
-                Math.round(meanServiceNs.mean() / 1e6),
-                "waited_ms",
-                (System.nanoTime() - call.arrivedNs()) / 1_000_000);
+        GateLog.refused(call, reason, queuedCount(), runningCalls.size(), meanServiceNs.mean());
         call.refuse(new Refusal(reason, retryAfterMs, false));
     }
 
@@ -444,7 +393,7 @@
         }
         finish(call, -1);
         call.abortConnection();
-        EventLog.log(LogEvent.ATTEMPT_FAILED, "request", call.request().requestId(), "cause", "deadline passed");
+        GateLog.failed(call, "deadline passed", presence.current().id());
         call.fail(new SendFailure("the backend server did not respond before the deadline", true));
         dispatchQueued();
     }
--- a/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
+++ b/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
@@ -96,14 +96,7 @@
         }
         boolean isStale = nowNs - Math.max(behindSinceNs, readSentNs) >= STALE_READ_NS;
         if (readPending && isStale) {
-            EventLog.log(
-                    LogEvent.LOG_UNAVAILABLE,
-                    "topic",
-                    topic,
-                    "position",
-                    nextOffset,
-                    "cause",
-                    "a read did not deliver records that another companion knows");
+            storeFailed("a read did not deliver records that another companion knows", readSentNs);
             read();
         }
     }
@@ -149,7 +142,7 @@
             read();
             return;
         }
-        storeFailed(result, sentNs);
+        storeFailed(result.toString(), sentNs);
         long jitterMs = (sentNs >>> 10) % MIN_RETRY_DELAY_MS;
         loop.schedule(this::read, retryDelayMs + jitterMs, TimeUnit.MILLISECONDS);
         retryDelayMs = Math.min(MAX_RETRY_DELAY_MS, retryDelayMs * 2);
@@ -180,7 +173,7 @@
         hasCompletedCall = true;
     }
 
-    private void storeFailed(StoreResult<RecordBatch> result, long sentNs) {
+    private void storeFailed(String cause, long sentNs) {
         failuresInSuccession++;
         long nowNs = System.nanoTime();
         if (failuresInSuccession == 1 || nowNs - lastFailureLogNs >= FAILURE_LOG_INTERVAL_NS) {
@@ -196,7 +189,7 @@
                     "took_ms",
                     TimeUnit.NANOSECONDS.toMillis(nowNs - sentNs),
                     "cause",
-                    result.toString());
+                    cause);
         }
         reachable = false;
         hasCompletedCall = true;
