Accept the late result of an earlier read of the store

Cause: the read that was abandoned after 1 s would have been answered over the saturated link after more than that. Change: a second read is sent beside the first, and the records of either count. The time before a further one doubles up to 8 s until a read succeeds. Evidence: TopicFeedTest acceptsTheLateResultOfAnEarlierRead (responses after 1.5 s) failed before and passes now.

--- a/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
+++ b/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
@@ -4,6 +4,7 @@
 import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
+import org.siskintiller.core.retry.GrowingTimeout;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
 
@@ -17,10 +18,12 @@
     private static final long FAILURE_LOG_INTERVAL_NS = TimeUnit.SECONDS.toNanos(2);
 
     /**
-     * Time after which a read is abandoned that does not deliver records which another companion knows. A store delivers
-     * them within some 100 ms.
+     * Time after which a second read is sent if the pending one does not deliver records which another companion knows. A
+     * store delivers them within some 100 ms.
      */
-    private static final long STALE_READ_NS = TimeUnit.SECONDS.toNanos(1);
+    private static final int MIN_STALE_READ_MS = 1_000;
+    /** A saturated link delays a response by seconds, and more reads delay it further. */
+    private static final int MAX_STALE_READ_MS = 8_000;
 
     private final RecordStore store;
     private final StoreTopic topic;
@@ -35,7 +38,8 @@
     private long lastContactNs;
     private long retryDelayMs = MIN_RETRY_DELAY_MS;
     private int failuresInSuccession;
-    /** Number of the latest read. The result of an earlier one, which was abandoned, is ignored. */
+    private final GrowingTimeout staleRead = new GrowingTimeout(MIN_STALE_READ_MS, MAX_STALE_READ_MS);
+    /** Number of the latest read, which continues the feed. Earlier ones may still deliver records. */
     private int reads;
 
     private boolean readPending;
@@ -86,16 +90,17 @@
     }
 
     /**
-     * Reports that another companion knows newer records. A pending read that does not deliver them is abandoned: its
-     * connection may have failed without a reset, which its timeout reveals only after the wait for records.
+     * Reports that another companion knows newer records. If the pending read does not deliver them, a second one is sent: the
+     * connection of the first may have failed without a reset, which its timeout reveals only after the wait for records.
      */
     public void newerRecordsExist() {
         long nowNs = System.nanoTime();
         if (behindSinceNs == 0) {
             behindSinceNs = nowNs;
         }
-        boolean isStale = nowNs - Math.max(behindSinceNs, readSentNs) >= STALE_READ_NS;
-        if (readPending && isStale) {
+        long staleNs = TimeUnit.MILLISECONDS.toNanos(staleRead.currentMs());
+        if (readPending && nowNs - Math.max(behindSinceNs, readSentNs) >= staleNs) {
+            staleRead.expired();
             storeFailed("a read did not deliver records that another companion knows", readSentNs);
             read();
         }
@@ -114,24 +119,15 @@
     }
 
     private void handleResult(StoreResult<RecordBatch> result, int number, long sentNs) {
-        if (number != reads) {
+        boolean isLatest = number == reads;
+        if (result instanceof StoreResult.Success<RecordBatch> success && (isLatest || hasPosition)) {
+            received(success.value(), sentNs);
+        }
+        if (!isLatest) {
             return;
         }
         readPending = false;
-        behindSinceNs = 0;
-        if (result instanceof StoreResult.Success<RecordBatch> success) {
-            lastContactNs = sentNs;
-            storeReached();
-            boolean isFirst = !hasPosition;
-            nextOffset = success.value().nextOffset();
-            hasPosition = true;
-            for (StoredRecord record : success.value().records()) {
-                listener.record(record);
-            }
-            if (isFirst) {
-                listener.caughtUp();
-            }
-            listener.readCompleted();
+        if (result instanceof StoreResult.Success<RecordBatch>) {
             long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNs);
             readAfter(minReadIntervalMs.getAsLong() - tookMs);
             return;
@@ -148,6 +144,25 @@
         retryDelayMs = Math.min(MAX_RETRY_DELAY_MS, retryDelayMs * 2);
     }
 
+    private void received(RecordBatch batch, long sentNs) {
+        lastContactNs = Math.max(lastContactNs, sentNs);
+        storeReached();
+        boolean isFirst = !hasPosition;
+        // Two reads may deliver the same records.
+        long knownEnd = isFirst ? 0 : nextOffset;
+        nextOffset = Math.max(knownEnd, batch.nextOffset());
+        hasPosition = true;
+        for (StoredRecord record : batch.records()) {
+            if (record.offset() >= knownEnd) {
+                listener.record(record);
+            }
+        }
+        if (isFirst) {
+            listener.caughtUp();
+        }
+        listener.readCompleted();
+    }
+
     private void readAfter(long delayMs) {
         if (delayMs <= 0) {
             read();
@@ -169,6 +184,8 @@
                     failuresInSuccession);
         }
         failuresInSuccession = 0;
+        behindSinceNs = 0;
+        staleRead.succeeded();
         reachable = true;
         hasCompletedCall = true;
     }
--- a/router/src/test/java/org/siskintiller/router/store/TopicFeedTest.java
+++ b/router/src/test/java/org/siskintiller/router/store/TopicFeedTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
@@ -25,9 +26,9 @@
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) loops.next();
     private final SilentStore store = new SilentStore();
+    private final AtomicInteger deliveries = new AtomicInteger();
     private final CountDownLatch delivered = new CountDownLatch(1);
-    private final TopicFeed feed = new TopicFeed(
-            store, StoreTopic.OPERATOR, loop, () -> READ_WAIT_MS, () -> 0, record -> delivered.countDown());
+    private final TopicFeed feed = feed(store);
 
     @AfterEach
     void close() {
@@ -36,7 +37,7 @@
 
     /** Guards against a configuration that waits for the timeout of a read whose connection delivers nothing. */
     @Test
-    void abandonsAReadThatDoesNotDeliverKnownRecords() throws Exception {
+    void readsAgainWhenAReadDoesNotDeliverKnownRecords() throws Exception {
         loop.execute(feed::start);
         loop.scheduleAtFixedRate(
                 feed::newerRecordsExist, STATUS_INTERVAL_MS, STATUS_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -44,6 +45,19 @@
         assertThat(delivered.await(IN_FORCE_MS, TimeUnit.MILLISECONDS)).isTrue();
     }
 
+    /** Guards against a read that is given up before its response arrives over a saturated link, again and again. */
+    @Test
+    void acceptsTheLateResultOfAnEarlierRead() throws Exception {
+        TopicFeed slowFeed = feed(new SlowStore());
+        loop.execute(slowFeed::start);
+        loop.scheduleAtFixedRate(
+                slowFeed::newerRecordsExist, STATUS_INTERVAL_MS, STATUS_INTERVAL_MS, TimeUnit.MILLISECONDS);
+
+        assertThat(delivered.await(IN_FORCE_MS, TimeUnit.MILLISECONDS)).isTrue();
+        Thread.sleep(SlowStore.DELAY_MS * 2);
+        assertThat(deliveries.get()).isEqualTo(1);
+    }
+
     /** Guards against additional calls to the store in a fleet whose connections work. */
     @Test
     void keepsAReadWhileNoNewerRecordsAreKnown() throws Exception {
@@ -53,6 +67,36 @@
         assertThat(store.readCount()).isEqualTo(1);
     }
 
+    private TopicFeed feed(RecordStore source) {
+        return new TopicFeed(source, StoreTopic.OPERATOR, loop, () -> READ_WAIT_MS, () -> 0, record -> {
+            deliveries.incrementAndGet();
+            delivered.countDown();
+        });
+    }
+
+    /** Store with one record, whose responses arrive late. */
+    private final class SlowStore implements RecordStore {
+        private static final long DELAY_MS = 1_500;
+
+        @Override
+        public void newest(StoreTopic topic, Consumer<StoreResult<RecordBatch>> result) {
+            result.accept(new StoreResult.Success<>(new RecordBatch(List.of(), 1)));
+        }
+
+        @Override
+        public void read(StoreTopic topic, long fromOffset, long waitMs, Consumer<StoreResult<RecordBatch>> result) {
+            if (fromOffset == 1) {
+                StoredRecord record = new StoredRecord("config", new byte[1], fromOffset);
+                RecordBatch batch = new RecordBatch(List.of(record), fromOffset + 1);
+                loop.schedule(() -> result.accept(new StoreResult.Success<>(batch)), DELAY_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        @Override
+        public void append(
+                StoreTopic topic, long expectedEnd, String key, byte[] value, Consumer<StoreResult<Long>> result) {}
+    }
+
     /** Store whose first read is never answered. */
     private static final class SilentStore implements RecordStore {
         private final List<Long> reads = new ArrayList<>();
