Pace the bodies of responses between companions below the rate of the link

What callers saw: an old configuration (CONFIG) on machines whose responses saturate their link. Cause: a companion wrote all bytes of its backend server's responses to its sockets at once. The link's queue delays everything, and bytes in it can't be taken back when their caller leaves. Change: LinkPacer sends the bodies that go to other companions at 80% of the link's rate, which the platform's settings state, in order, and drops those whose caller has left. Status, leases, calls to the store and responses to callers of the machine are not paced. A stop waits for the parts that wait for the link. On links of 1,000 Mbit/s the limit is not reached. Test: LinkBudgetTest and LinkPacerTest; the tests of router and platform pass.

--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -103,7 +103,7 @@
                 intervals,
                 new LocalBackend(gate, presence, crashes, keys));
         peers.listen(control);
-        this.peerServer = new PeerServer(loop, lag, gate, control);
+        this.peerServer = new PeerServer(loop, lag, gate, control, settings.linkBytesPerSecond());
         this.callerServer = new CallerServer(loop, lag, router, this::callerLimits);
         this.readinessServer = new CallerServer(loop, lag, this::ready, () -> LOCAL_LIMITS);
         CallerHandler heartbeatHandler = new HeartbeatHandler(heartbeatCodec, gate, control::heartbeat);
@@ -175,7 +175,7 @@
 
     private void finishStop(long startNs) {
         long elapsedMs = (System.nanoTime() - startNs) / 1_000_000;
-        boolean idle = router.openRequests() == 0 && gate.inFlight() == 0;
+        boolean idle = router.openRequests() == 0 && gate.inFlight() == 0 && peerServer.waitingWrites() == 0;
         boolean timedOut = elapsedMs >= settings.graceMs() - KILL_MARGIN_MS;
         if (!idle && !timedOut) {
             loop.schedule(() -> finishStop(startNs), STOP_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
--- a/router/src/main/java/org/siskintiller/router/CompanionSettings.java
+++ b/router/src/main/java/org/siskintiller/router/CompanionSettings.java
@@ -18,6 +18,7 @@
  * @param drainMs time for which a leaving backend server continues to serve after the acknowledgement
  * @param graceMs time from the request to stop until the process is killed
  * @param holdMaxMs maximum hold time of keys that backend servers accept
+ * @param linkBytesPerSecond rate of the machine's link
  */
 public record CompanionSettings(
         String instance,
@@ -32,6 +33,7 @@
         long drainMs,
         long graceMs,
         long holdMaxMs,
+        long linkBytesPerSecond,
         RouterSettings router) {
 
     public CompanionSettings {
@@ -45,5 +47,8 @@
         Objects.requireNonNull(metrics, "metrics");
         Objects.requireNonNull(backend, "backend");
         Objects.requireNonNull(router, "router");
+        if (linkBytesPerSecond < 1) {
+            throw new IllegalArgumentException("the rate of the link must be above 0, not " + linkBytesPerSecond);
+        }
     }
 }
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/peer/LinkPacer.java
@@ -0,0 +1,73 @@
+package org.siskintiller.router.peer;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import io.netty.channel.EventLoop;
+import org.siskintiller.core.path.LinkBudget;
+
+/**
+ * Sends the bodies of responses in the order of their arrival, below the rate of the machine's link. Bytes that wait here
+ * can be dropped when their caller leaves, and do not delay small messages, unlike bytes that wait in the link.
+ */
+final class LinkPacer {
+    /** Rest of the link for messages that are not paced: status, leases, the store and callers of this machine. */
+    private static final double BODY_SHARE = 0.8;
+
+    private final EventLoop loop;
+    private final LinkBudget budget;
+    private final Deque<Write> waiting = new ArrayDeque<>();
+    private boolean drainScheduled;
+
+    LinkPacer(EventLoop loop, long linkBytesPerSecond) {
+        this.loop = loop;
+        this.budget = new LinkBudget(linkBytesPerSecond * BODY_SHARE);
+    }
+
+    /**
+     * Runs the write when the link has room for it.
+     *
+     * @param isNeeded evaluated before the write; a write that is no longer needed is dropped
+     */
+    void write(int bytes, BooleanSupplier isNeeded, Runnable write) {
+        waiting.addLast(new Write(bytes, isNeeded, write));
+        if (!drainScheduled) {
+            drain();
+        }
+    }
+
+    int waiting() {
+        return waiting.size();
+    }
+
+    private void drain() {
+        long nowNs = System.nanoTime();
+        while (!waiting.isEmpty()) {
+            Write next = waiting.peekFirst();
+            boolean isNeeded = next.isNeeded.getAsBoolean();
+            if (isNeeded && !budget.tryTake(next.bytes, nowNs)) {
+                scheduleDrain(budget.waitNs(nowNs));
+                return;
+            }
+            waiting.pollFirst();
+            if (isNeeded) {
+                next.action.run();
+            }
+        }
+    }
+
+    private void scheduleDrain(long delayNs) {
+        drainScheduled = true;
+        loop.schedule(
+                () -> {
+                    drainScheduled = false;
+                    drain();
+                },
+                delayNs,
+                TimeUnit.NANOSECONDS);
+    }
+
+    private record Write(int bytes, BooleanSupplier isNeeded, Runnable action) {}
+}
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -34,14 +34,16 @@
     private final LoopLag lag;
     private final BackendGate gate;
     private final PeerEvents events;
+    private final LinkPacer pacer;
     private final Set<Connection> connections = new HashSet<>();
     private Channel server;
 
-    public PeerServer(EventLoop loop, LoopLag lag, BackendGate gate, PeerEvents events) {
+    public PeerServer(EventLoop loop, LoopLag lag, BackendGate gate, PeerEvents events, long linkBytesPerSecond) {
         this.loop = loop;
         this.lag = lag;
         this.gate = gate;
         this.events = events;
+        this.pacer = new LinkPacer(loop, linkBytesPerSecond);
     }
 
     public void bind(Address address) throws IOException {
@@ -61,6 +63,11 @@
         }
     }
 
+    /** Number of parts of responses that wait for the link. */
+    public int waitingWrites() {
+        return pacer.waiting();
+    }
+
     public void close() {
         server.close();
     }
@@ -176,6 +183,8 @@
         private final Connection connection;
         private final int id;
         private SentRequest sentRequest;
+        /** Parts of the response that wait for the link. What follows them waits too, to keep the order. */
+        private int waitingWrites;
 
         private Stream(Connection connection, int id) {
             this.connection = connection;
@@ -189,22 +198,17 @@
 
         @Override
         public void data(byte[] data, boolean last) {
-            write(Frames.data(id, data, last));
-            if (last) {
-                connection.streams.remove(id);
-            }
+            writePaced(Frames.data(id, data, last), data.length, last);
         }
 
         @Override
         public void refused(Refusal refusal) {
-            write(Frames.refusal(id, refusal, load()));
-            connection.streams.remove(id);
+            writeLast(Frames.refusal(id, refusal, load()));
         }
 
         @Override
         public void failed(SendFailure failure) {
-            write(Frames.failure(id, failure, load()));
-            connection.streams.remove(id);
+            writeLast(Frames.failure(id, failure, load()));
         }
 
         private void cancel() {
@@ -217,8 +221,32 @@
             return gate.load();
         }
 
+        private void writePaced(Frame frame, int bytes, boolean last) {
+            waitingWrites++;
+            pacer.write(bytes, this::isOpen, () -> {
+                waitingWrites--;
+                write(frame);
+                if (last) {
+                    connection.streams.remove(id);
+                }
+            });
+        }
+
+        private void writeLast(Frame frame) {
+            if (waitingWrites > 0) {
+                writePaced(frame, 0, true);
+                return;
+            }
+            write(frame);
+            connection.streams.remove(id);
+        }
+
+        private boolean isOpen() {
+            return connection.streams.containsKey(id);
+        }
+
         private void write(Frame frame) {
-            if (connection.streams.containsKey(id)) {
+            if (isOpen()) {
                 connection.channel.writeAndFlush(frame);
             }
         }
