Allow a longer burst on fast links

Cause: on a link of 1,000 Mbit/s a burst of 32 KiB lasts 0.3 ms, so a response of 90 KB waited for timers of 1 ms although the link was not the bottleneck. Change: a burst lasts at least 5 ms. Result: LinkBudgetTest sendsAResponseAtOnceOnAFastLink failed before and passes now.

--- a/core/src/main/java/org/siskintiller/core/path/LinkBudget.java
+++ b/core/src/main/java/org/siskintiller/core/path/LinkBudget.java
@@ -5,6 +5,8 @@
     private static final double NS_PER_S = 1e9;
     /** Bytes that may be sent at once. On a link of 10 Mbit/s, a small message behind them waits for about 26 ms. */
     private static final int BURST_BYTES = 32 * 1024;
+    /** On a fast link the burst is longer, since a timer has a resolution of about 1 ms. */
+    private static final long MIN_BURST_NS = 5_000_000;
 
     private final double nsPerByte;
     private final long burstNs;
@@ -16,7 +18,7 @@
             throw new IllegalArgumentException("a link needs a rate above 0, not " + bytesPerSecond + " bytes/s");
         }
         nsPerByte = NS_PER_S / bytesPerSecond;
-        burstNs = Math.round(BURST_BYTES * nsPerByte);
+        burstNs = Math.max(MIN_BURST_NS, Math.round(BURST_BYTES * nsPerByte));
         sentAtNs = Long.MIN_VALUE / 2;
     }
 
--- a/core/src/test/java/org/siskintiller/core/path/LinkBudgetTest.java
+++ b/core/src/test/java/org/siskintiller/core/path/LinkBudgetTest.java
@@ -25,6 +25,15 @@
         assertThat(sentBytes).isAtLeast(10L * BYTES_PER_SECOND - 64 * 1024);
     }
 
+    /** Guards against timers for each part of a response on a link that is not the bottleneck. */
+    @Test
+    void sendsAResponseAtOnceOnAFastLink() {
+        LinkBudget fast = new LinkBudget(100.0 * BYTES_PER_SECOND);
+        for (int sent = 0; sent < 400_000; sent += MESSAGE_BYTES) {
+            assertThat(fast.tryTake(MESSAGE_BYTES, 0)).isTrue();
+        }
+    }
+
     /** Guards against a message that never fits. */
     @Test
     void sendsAMessageAboveTheBurst() {
