--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -197,6 +197,9 @@
     }
 
     void cancelled(GateCall call) {
+        if (call.state() == GateCall.State.ENDED) {
+            return;
+        }
         GateLog.cancelled(call, lag.lagMs());
         switch (call.state()) {
             case AWAITING_GRANT -> grantWaiters.remove(call);
