Pace the bodies of downloads only

Cause: small responses of the bundle service waited behind its downloads in one queue. Change: only bodies of downloads wait for the link. Other bodies are sent at once and count against its rate. Result: LinkBudgetTest countsBytesThatDoNotWait is new; the tests of router and PlatformClusterTest pass.

--- a/core/src/main/java/org/siskintiller/core/path/LinkBudget.java
+++ b/core/src/main/java/org/siskintiller/core/path/LinkBudget.java
@@ -27,10 +27,15 @@
         if (waitNs(nowNs) > 0) {
             return false;
         }
-        sentAtNs = Math.max(sentAtNs, nowNs) + Math.round(bytes * nsPerByte);
+        take(bytes, nowNs);
         return true;
     }
 
+    /** Takes bytes that are sent without waiting. Later ones wait longer. */
+    public void take(int bytes, long nowNs) {
+        sentAtNs = Math.max(sentAtNs, nowNs) + Math.round(bytes * nsPerByte);
+    }
+
     /** Time until the next bytes may be sent. */
     public long waitNs(long nowNs) {
         return Math.max(0, sentAtNs - burstNs - nowNs);
--- a/core/src/test/java/org/siskintiller/core/path/LinkBudgetTest.java
+++ b/core/src/test/java/org/siskintiller/core/path/LinkBudgetTest.java
@@ -34,6 +34,15 @@
         }
     }
 
+    /** Guards against bulk data that is sent beside small messages as if the link were free. */
+    @Test
+    void countsBytesThatDoNotWait() {
+        budget.take(BYTES_PER_SECOND, 0);
+
+        assertThat(budget.tryTake(MESSAGE_BYTES, 0)).isFalse();
+        assertThat(budget.tryTake(MESSAGE_BYTES, 1_000 * MS)).isTrue();
+    }
+
     /** Guards against a message that never fits. */
     @Test
     void sendsAMessageAboveTheBurst() {
--- a/router/src/main/java/org/siskintiller/router/peer/LinkPacer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/LinkPacer.java
@@ -9,7 +9,7 @@
 import org.siskintiller.core.path.LinkBudget;
 
 /**
- * Sends the bodies of responses in the order of their arrival, below the rate of the machine's link. Bytes that wait here
+ * Sends the bodies of downloads in the order of their arrival, below the rate of the machine's link. Bytes that wait here
  * can be dropped when their caller leaves, and do not delay small messages, unlike bytes that wait in the link.
  */
 final class LinkPacer {
@@ -38,6 +38,11 @@
         }
     }
 
+    /** Counts bytes that are sent at once, such as those of a small response. */
+    void countSent(int bytes) {
+        budget.take(bytes, System.nanoTime());
+    }
+
     int waiting() {
         return waiting.size();
     }
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -14,6 +14,7 @@
 import io.netty.channel.socket.SocketChannel;
 import org.siskintiller.core.balance.BackendLoad;
 import org.siskintiller.core.model.Address;
+import org.siskintiller.core.path.RequestKind;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.LoopLag;
@@ -158,9 +159,9 @@
         }
 
         private void request(CompanionProto.Request request) {
-            Stream stream = new Stream(this, request.getStream());
-            streams.put(stream.id, stream);
             ForwardedRequest forwarded = Frames.request(request, lag.earliestArrivalNs());
+            Stream stream = new Stream(this, request.getStream(), forwarded.kind() == RequestKind.DOWNLOAD);
+            streams.put(stream.id, stream);
             lag.runAfterPendingReads(() -> send(forwarded, stream));
         }
 
@@ -182,13 +183,17 @@
     private final class Stream implements ResponseListener {
         private final Connection connection;
         private final int id;
+        /** Whether the body waits for the link. Small responses would wait for seconds behind those of downloads. */
+        private final boolean isPaced;
+
         private SentRequest sentRequest;
         /** Parts of the response that wait for the link. What follows them waits too, to keep the order. */
         private int waitingWrites;
 
-        private Stream(Connection connection, int id) {
+        private Stream(Connection connection, int id, boolean isPaced) {
             this.connection = connection;
             this.id = id;
+            this.isPaced = isPaced;
         }
 
         @Override
@@ -198,7 +203,15 @@
 
         @Override
         public void data(byte[] data, boolean last) {
-            writePaced(Frames.data(id, data, last), data.length, last);
+            if (isPaced) {
+                writePaced(Frames.data(id, data, last), data.length, last);
+                return;
+            }
+            pacer.countSent(data.length);
+            write(Frames.data(id, data, last));
+            if (last) {
+                connection.streams.remove(id);
+            }
         }
 
         @Override
