Grant keys by orders to backend servers that expect calls

Change: KeyOrders in core decides which grants and releases are due and when a range counts as released; a grant without a response may take effect until its hold has passed, so a confirmed release waits for it. KeyOrderSender posts the orders. A connection reaches one run of the backend server: after it was closed, a new one waits for a heartbeat. ControlDriver leaves the way of granting to GrantDelivery, with one implementation for heartbeats and one for orders.

--- a/core/src/main/java/org/siskintiller/core/lease/KeyHolder.java
+++ b/core/src/main/java/org/siskintiller/core/lease/KeyHolder.java
@@ -7,8 +7,9 @@
 import org.siskintiller.core.keyrange.KeyRange;
 
 /**
- * Holder side of the key leases: passes grants to the backend server of its own machine in the responses to heartbeats,
- * and releases ranges only when the backend server can no longer hold them.
+ * Holder side of the key leases: decides which grants the backend server of its own machine may have, and releases ranges
+ * only when the backend server can no longer hold them. The backend server learns of its grants in the responses to its
+ * heartbeats, or by orders, see {@link KeyOrders}.
  */
 public final class KeyHolder {
     private final long holdMaxMs;
@@ -28,6 +29,8 @@
     private long backendHoldEndNs;
     /** Time until which the grants are certainly in force at the backend server. */
     private long grantsInForceUntilNs;
+    /** Grants that the backend server certainly has. */
+    private GrantsInForce grantsInForce = this::isGrantedByHeartbeat;
 
     /**
      * Creates a holder that has no record of what an earlier process granted.
@@ -126,26 +129,68 @@
 
     /** Returns the response to the last heartbeat, which must be sent now. */
     public HeartbeatResponse respond(long nowNs) {
-        double driftFactor = 1 + LeaseTiming.BACKEND_CLOCK_DRIFT;
-        long remainingLeaseNs = leaseUntilNs - nowNs - LeaseTiming.MARGIN_NS;
-        long holdMs = Math.min(holdMaxMs, (long) (remainingLeaseNs / driftFactor / 1_000_000));
-        if (remainingLeaseNs < LeaseTiming.MIN_HOLD_NS) {
+        long holdMs = holdMs(nowNs);
+        if (holdMs == 0) {
             return HeartbeatResponse.RENEWS_NOTHING;
         }
         for (PendingRelease entry : pendingReleases) {
             entry.omitted = true;
         }
         granted = currentGrants();
-        long holdNs = holdMs * 1_000_000;
-        long holdEndNs = nowNs + Math.round(holdNs * driftFactor) + LeaseTiming.MARGIN_NS;
-        backendHoldEndNs = backendHoldEndNs == Long.MAX_VALUE ? holdEndNs : Math.max(backendHoldEndNs, holdEndNs);
+        holdPossibleUntil(holdEndNs(holdMs, nowNs));
         // The backend server counts the hold time from the sending of its heartbeat.
-        grantsInForceUntilNs = lastHeartbeatNs + holdNs - LeaseTiming.MARGIN_NS;
+        grantsInForceUntilNs = lastHeartbeatNs + holdMs * 1_000_000 - LeaseTiming.MARGIN_NS;
         return new HeartbeatResponse(granted, holdMs);
     }
 
+    /** Uses other grants in force than those of the heartbeat responses. */
+    void setGrantsInForce(GrantsInForce source) {
+        grantsInForce = source;
+    }
+
+    /** Returns the hold time in ms of a grant that the backend server receives now, 0 when the lease is too short. */
+    long holdMs(long nowNs) {
+        long remainingLeaseNs = leaseUntilNs - nowNs - LeaseTiming.MARGIN_NS;
+        if (remainingLeaseNs < LeaseTiming.MIN_HOLD_NS) {
+            return 0;
+        }
+        return Math.min(holdMaxMs, (long) (remainingLeaseNs / (1 + LeaseTiming.BACKEND_CLOCK_DRIFT) / 1_000_000));
+    }
+
+    /** Returns the time after which a hold that begins now has ended by any clock of a backend server. */
+    static long holdEndNs(long holdMs, long nowNs) {
+        double driftFactor = 1 + LeaseTiming.BACKEND_CLOCK_DRIFT;
+        return nowNs + Math.round(holdMs * 1_000_000 * driftFactor) + LeaseTiming.MARGIN_NS;
+    }
+
+    /** Records that the backend server may hold a grant until the given time. */
+    void holdPossibleUntil(long holdEndNs) {
+        backendHoldEndNs = backendHoldEndNs == Long.MAX_VALUE ? holdEndNs : Math.max(backendHoldEndNs, holdEndNs);
+    }
+
+    /** Time of the last heartbeat that was accepted. */
+    long lastHeartbeatNs() {
+        return lastHeartbeatNs;
+    }
+
+    /** Returns the ranges that the backend server must release. */
+    List<KeyOrder.Release> openReleases() {
+        List<KeyOrder.Release> open = new ArrayList<>();
+        pendingReleases.forEach(entry -> open.add(new KeyOrder.Release(entry.range, entry.fence)));
+        return open;
+    }
+
+    /** Ends a release after which the backend server can no longer hold the range. */
+    void releaseEnded(KeyOrder.Release release, String handover) {
+        boolean wasOpen = pendingReleases.removeIf(
+                entry -> entry.fence == release.fence() && entry.range.equals(release.range()));
+        if (wasOpen) {
+            addReleased(new HolderReport.Released(release.range(), release.fence(), handover));
+        }
+    }
+
     /** Grants of the current run without the ranges that are released or being released. */
-    private List<KeyGrant> currentGrants() {
+    List<KeyGrant> currentGrants() {
         List<KeyGrant> grants = new ArrayList<>();
         for (KeyGrant grant : assigned) {
             if (grant.run() == run) {
@@ -176,7 +221,11 @@
 
     /** Whether requests for the key may be sent to the backend server. */
     public boolean serves(int key, long nowNs) {
-        if (nowNs >= grantsInForceUntilNs || nowNs >= leaseUntilNs) {
+        return nowNs < leaseUntilNs && grantsInForce.covers(key, nowNs);
+    }
+
+    private boolean isGrantedByHeartbeat(int key, long nowNs) {
+        if (nowNs >= grantsInForceUntilNs) {
             return false;
         }
         for (KeyGrant grant : granted) {
@@ -197,6 +246,16 @@
         return false;
     }
 
+    /** Returns the fence of the grant of a key that the present run keeps, 0 if there is none. */
+    long currentFence(int key) {
+        for (KeyGrant grant : assigned) {
+            if (grant.range().contains(key)) {
+                return grant.run() == run && isKept(grant.range(), grant.fence(), key) ? grant.fence() : 0;
+            }
+        }
+        return 0;
+    }
+
     public List<HolderReport.Released> released() {
         return List.copyOf(released);
     }
@@ -332,6 +391,11 @@
         return rest;
     }
 
+    /** Grants that the backend server certainly has. */
+    interface GrantsInForce {
+        boolean covers(int key, long nowNs);
+    }
+
     private static final class PendingRelease {
         private final KeyRange range;
         private final long fence;
--- a/core/src/test/java/org/siskintiller/core/lease/OwnershipRandomTest.java
+++ b/core/src/test/java/org/siskintiller/core/lease/OwnershipRandomTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.LongConsumer;
 import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.Nested;
@@ -44,6 +45,25 @@
             assertThat(world.violations.stream().limit(3)).isEmpty();
         }
 
+        /** Guards against the same with orders, of which some have no response and take effect seconds later. */
+        @ParameterizedTest
+        @MethodSource("seeds")
+        void keyHasOneHolderWithOrders(long seed) {
+            World world = new World(seed, LeaseTiming.BACKEND_CLOCK_DRIFT, true);
+            world.run(120_000);
+            assertThat(world.violations.stream().limit(3)).isEmpty();
+        }
+
+        /** Guards against a test without effect: keys must change their holders and be held most of the time. */
+        @Test
+        void keysMoveAndAreServedWithOrders() {
+            World world = new World(1, LeaseTiming.BACKEND_CLOCK_DRIFT, true);
+            world.run(120_000);
+
+            assertThat(world.table.lastFence()).isGreaterThan(20);
+            assertThat(world.heldKeySamples * 1.0 / world.samples).isGreaterThan(0.5);
+        }
+
         /** Shows that the check detects violations: a new authority must wait for the leases of the deposed one. */
         @Test
         void detectsAnAuthorityThatDoesNotWait() {
@@ -86,6 +106,7 @@
     private static final class World {
         private final Random random;
         private final double backendClockDrift;
+        private final boolean byOrders;
         private final List<Machine> machines = new ArrayList<>();
         private final List<String> violations = new ArrayList<>();
         private final Map<Integer, Long> highestFence = new HashMap<>();
@@ -102,8 +123,13 @@
         private int heldKeySamples;
 
         private World(long seed, double backendClockDrift) {
+            this(seed, backendClockDrift, false);
+        }
+
+        private World(long seed, double backendClockDrift, boolean byOrders) {
             this.random = new Random(seed);
             this.backendClockDrift = backendClockDrift;
+            this.byOrders = byOrders;
             for (int i = 0; i < MACHINES; i++) {
                 machines.add(new Machine("m" + i));
             }
@@ -158,7 +184,7 @@
                 samples++;
                 String holder = null;
                 for (Machine machine : machines) {
-                    KeyGrant grant = machine.held(key, nowNs);
+                    KeyGrant grant = byOrders ? machine.ordered.held(key, nowNs) : machine.held(key, nowNs);
                     if (grant == null) {
                         continue;
                     }
@@ -195,10 +221,19 @@
             private long backendHoldUntilNs;
             private long heartbeatSentNs;
             private long responseDueNs = Long.MAX_VALUE;
+            private KeyOrders orders;
+            private OrderedBackend ordered = new OrderedBackend();
+            /** A sender of orders connects to a new run only after its first heartbeat. */
+            private boolean reachable;
 
             private Machine(String name) {
                 this.name = name;
-                this.holder = new KeyHolder(10_000, 0);
+                startCompanion(0);
+            }
+
+            private void startCompanion(long nowNs) {
+                holder = new KeyHolder(10_000, nowNs);
+                orders = byOrders ? new KeyOrders(holder, nowNs) : null;
             }
 
             private KeyGrant held(int key, long nowNs) {
@@ -233,11 +268,43 @@
                     nextHeartbeatNs = nowNs + (800 + random.nextInt(150)) * MS;
                     sendHeartbeat(nowNs);
                 }
-                if (nowNs >= backendDownUntilNs && !unresponsive) {
+                if (byOrders) {
+                    ordered.step(nowNs);
+                    sendOrders(nowNs);
+                } else if (nowNs >= backendDownUntilNs && !unresponsive) {
                     receiveResponse(nowNs);
                 }
             }
 
+            /** Sends the orders that are due. One in ten has no response and may take effect up to 12 s later. */
+            private void sendOrders(long nowNs) {
+                for (KeyOrder order : orders.due(nowNs)) {
+                    boolean isGrant = order instanceof KeyOrder.Grant;
+                    long holdMs = isGrant ? orders.beginGrant((KeyOrder.Grant) order, nowNs) : 0;
+                    boolean isWanted = isGrant ? holdMs > 0 : orders.beginRelease((KeyOrder.Release) order);
+                    if (!isWanted || !reachable) {
+                        orders.notSent(order, nowNs);
+                        continue;
+                    }
+                    long arrivalNs = nowNs + random.nextInt(20) * MS;
+                    long holdUntilNs = arrivalNs + Math.round(holdMs * MS * (1 + backendClockDrift));
+                    boolean answered = random.nextInt(10) > 0;
+                    int delayMs = answered ? random.nextInt(200) : random.nextInt(12_000);
+                    KeyOrders sender = orders;
+                    ordered.later(arrivalNs + delayMs * MS, appliedNs -> {
+                        boolean accepted = ordered.apply(order, holdUntilNs);
+                        if (answered && accepted) {
+                            sender.confirmed(order, isGrant ? "" : "token", appliedNs);
+                        } else if (answered) {
+                            sender.refused(order, appliedNs);
+                        }
+                    });
+                    if (!answered) {
+                        ordered.later(nowNs + 400 * MS, expiredNs -> sender.unanswered(order, expiredNs));
+                    }
+                }
+            }
+
             private void injectFaults(long nowNs) {
                 if (deposed != null && random.nextInt(300) == 0) {
                     followsDeposedUntilNs = nowNs + random.nextInt(15_000) * MS;
@@ -247,12 +314,14 @@
                         isolatedUntilNs = nowNs + random.nextInt(8_000) * MS;
                     }
                     case 1 -> {
-                        holder = new KeyHolder(10_000, nowNs);
+                        startCompanion(nowNs);
                         responseDueNs = Long.MAX_VALUE;
                     }
                     case 2 -> {
                         backendDownUntilNs = nowNs + random.nextInt(5_000) * MS;
                         backendGrants = List.of();
+                        ordered = new OrderedBackend();
+                        reachable = false;
                         handovers = new ArrayList<>();
                         run++;
                         sequence = 0;
@@ -298,6 +367,7 @@
             /** Sends a heartbeat. Its response comes when the grants change, after 700 ms at the latest. */
             private void sendHeartbeat(long nowNs) {
                 heartbeatSentNs = nowNs - random.nextInt(50) * MS;
+                reachable = true;
                 List<KeyRange> held = new ArrayList<>();
                 if (nowNs < backendHoldUntilNs) {
                     backendGrants.forEach(grant -> held.add(grant.range()));
@@ -331,4 +401,59 @@
             }
         }
     }
+
+    /** Backend server that receives orders. It tracks the keys that the test checks. */
+    private static final class OrderedBackend {
+        private final Map<Integer, KeyOrder> held = new HashMap<>();
+        private final Map<Integer, Long> holdUntilNs = new HashMap<>();
+        private final Map<Integer, Long> highestFence = new HashMap<>();
+        private final List<Event> events = new ArrayList<>();
+
+        private void later(long timeNs, LongConsumer action) {
+            events.add(new Event(timeNs, action));
+        }
+
+        private void step(long nowNs) {
+            for (Event event : List.copyOf(events)) {
+                if (nowNs >= event.timeNs) {
+                    events.remove(event);
+                    event.action.accept(nowNs);
+                }
+            }
+        }
+
+        /** Applies an order. A grant is refused when a higher fence was seen on one of its keys. */
+        private boolean apply(KeyOrder order, long untilNs) {
+            List<Integer> keys = new ArrayList<>();
+            for (int key = 0; key <= KeyRange.MAX_KEY; key += 4_096) {
+                if (order.range().contains(key)) {
+                    keys.add(key);
+                }
+            }
+            if (order instanceof KeyOrder.Release) {
+                keys.stream()
+                        .filter(key -> held.containsKey(key) && held.get(key).fence() <= order.fence())
+                        .forEach(held::remove);
+                return true;
+            }
+            if (keys.stream().anyMatch(key -> highestFence.getOrDefault(key, 0L) > order.fence())) {
+                return false;
+            }
+            for (int key : keys) {
+                held.put(key, order);
+                highestFence.put(key, order.fence());
+                holdUntilNs.put(key, untilNs);
+            }
+            return true;
+        }
+
+        private KeyGrant held(int key, long nowNs) {
+            KeyOrder order = held.get(key);
+            return order == null || nowNs >= holdUntilNs.get(key)
+                    ? null
+                    : new KeyGrant(order.range(), "", 0, order.fence(), "");
+        }
+
+        private record Event(long timeNs, LongConsumer action) {}
+    }
 }
--- a/node/src/main/java/org/siskintiller/node/LogEvent.java
+++ b/node/src/main/java/org/siskintiller/node/LogEvent.java
@@ -110,7 +110,9 @@
     KEYS_PROPOSED(1706, Level.INFO, "key table proposed", "none"),
     KEYS_RELEASED(1707, Level.INFO, "keys released", "none"),
     KEYS_MOVING(1708, Level.INFO, "moving keys to balance the load", "none"),
-    PAUSE_DETECTED(1709, Level.WARN, "process was paused or its clock was set; lease dropped", "check the machine");
+    PAUSE_DETECTED(1709, Level.WARN, "process was paused or its clock was set; lease dropped", "check the machine"),
+    KEY_ORDER_FAILED(
+            1710, Level.WARN, "grant or release not confirmed by the backend server", "none; the order is sent again");
 
     private final int number;
     private final Level level;
--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -23,13 +23,17 @@
 import org.siskintiller.router.backend.HeartbeatCodec;
 import org.siskintiller.router.backend.HeartbeatHandler;
 import org.siskintiller.router.backend.HeldKeys;
+import org.siskintiller.router.backend.KeyOrderCodec;
 import org.siskintiller.router.control.ConfigDecoder;
 import org.siskintiller.router.control.ConfigFeed;
 import org.siskintiller.router.control.ControlDriver;
 import org.siskintiller.router.control.ControlSettings;
 import org.siskintiller.router.control.ControlState;
+import org.siskintiller.router.control.GrantDelivery;
+import org.siskintiller.router.control.HeartbeatDelivery;
 import org.siskintiller.router.control.LocalBackend;
 import org.siskintiller.router.control.Member;
+import org.siskintiller.router.control.OrderDelivery;
 import org.siskintiller.router.control.PeerDirectory;
 import org.siskintiller.router.ingress.CallerHandler;
 import org.siskintiller.router.ingress.CallerRequest;
@@ -76,7 +80,8 @@
             RecordStore store,
             HeaderNames names,
             ConfigDecoder configDecoder,
-            HeartbeatCodec heartbeatCodec) {
+            HeartbeatCodec heartbeatCodec,
+            KeyOrderCodec orderCodec) {
         this.settings = settings;
         this.loop = loop;
         this.lag = new LoopLag(loop, metrics);
@@ -101,7 +106,7 @@
                 state,
                 peers,
                 intervals,
-                new LocalBackend(gate, presence, crashes, keys));
+                new LocalBackend(gate, presence, crashes, keys, delivery(keys.holder(), orderCodec)));
         peers.listen(control);
         this.peerServer = new PeerServer(loop, lag, gate, control, settings.linkBytesPerSecond());
         this.callerServer = new CallerServer(loop, lag, router, this::callerLimits);
@@ -111,6 +116,12 @@
         this.metricsServer = new CallerServer(loop, lag, this::metricsPage, () -> LOCAL_LIMITS);
     }
 
+    private GrantDelivery delivery(KeyHolder holder, KeyOrderCodec codec) {
+        return settings.grantsByOrder()
+                ? new OrderDelivery(settings.backend(), loop, gate, holder, codec, metrics)
+                : new HeartbeatDelivery(loop, gate, holder);
+    }
+
     /** Binds all addresses and starts to follow the store. Not called on the event loop. */
     public void start() throws IOException {
         callerServer.bind(settings.callers());
--- a/router/src/main/java/org/siskintiller/router/CompanionSettings.java
+++ b/router/src/main/java/org/siskintiller/router/CompanionSettings.java
@@ -18,6 +18,7 @@
  * @param drainMs time for which a leaving backend server continues to serve after the acknowledgement
  * @param graceMs time from the request to stop until the process is killed
  * @param holdMaxMs maximum hold time of keys that backend servers accept
+ * @param grantsByOrder whether the backend server learns its keys by orders and not in the responses to its heartbeats
  * @param linkBytesPerSecond rate of the machine's link
  */
 public record CompanionSettings(
@@ -33,6 +34,7 @@
         long drainMs,
         long graceMs,
         long holdMaxMs,
+        boolean grantsByOrder,
         long linkBytesPerSecond,
         RouterSettings router) {
 
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -57,10 +57,6 @@
     private static final long READ_WAIT_MS = 8_000;
     /** The last contact of the authority with the store is at most twice as old as this. */
     private static final long AUTHORITY_READ_WAIT_MS = 1_000;
-    /** Maximum time for which a heartbeat response is deferred. A backend server waits 1 s for it. */
-    private static final long MAX_DEFERRAL_MS = 700;
-    /** A response is deferred only while the grants last this long: the deferral and half a heartbeat interval. */
-    private static final long MIN_GRANTS_LEFT_NS = 1_500_000_000L;
     /** Requests per second that one slot is assumed to serve while its service time is unknown. */
     private static final double DEFAULT_REQUESTS_PER_SLOT_SECOND = 5;
 
@@ -77,6 +73,7 @@
     private final CrashDetector crashes;
     private final KeyHolder holder;
     private final KeyRates keyRates;
+    private final GrantDelivery delivery;
     private final TopicFeed feed;
     private final Map<Integer, Long> renewalSendTimesNs = new HashMap<>();
     private RequestRouter router;
@@ -91,9 +88,7 @@
     private long lastRatesNs;
     private long lastMemberAppendNs = Long.MIN_VALUE / 2;
     private long clockOffsetMs;
-    /** Deferred response to the latest heartbeat, sent early on a change of keys; null if there is none. */
-    private Consumer<HeartbeatResponse> deferredResponse;
-
+    private int reportedReleases;
     private boolean caughtUp;
     private boolean stopping;
 
@@ -118,6 +113,7 @@
         this.crashes = backend.crashes();
         this.holder = backend.keys().holder();
         this.keyRates = backend.keys().rates();
+        this.delivery = backend.delivery();
         this.feed =
                 new TopicFeed(store, StoreTopic.CONTROL, loop, this::readWaitMs, intervals::minReadIntervalMs, this);
     }
@@ -137,7 +133,7 @@
     /** Resigns from the authority and publishes that the backend server takes no more requests. */
     public void stop() {
         stopping = true;
-        sendDeferred();
+        delivery.stop();
         authority.stop(System.nanoTime());
         publishStatus();
     }
@@ -147,15 +143,11 @@
         return caughtUp || !state.members().isEmpty();
     }
 
-    /**
-     * Processes the keys of a heartbeat and responds with the granted keys. A response without a change of keys is
-     * deferred, so that the next change reaches the backend server at once and not with its next heartbeat.
-     */
+    /** Processes the keys of a heartbeat and responds with the granted keys. */
     public void heartbeat(BackendHeartbeat heartbeat, Consumer<HeartbeatResponse> response) {
         long nowNs = System.nanoTime();
         detectPause();
-        sendDeferred(HeartbeatResponse.RENEWS_NOTHING);
-        int earlierReleases = holder.released().size();
+        delivery.heartbeatReceived();
         if (presence.leaving()) {
             holder.releaseAll();
         }
@@ -163,48 +155,19 @@
             response.accept(HeartbeatResponse.RENEWS_NOTHING);
             return;
         }
-        if (holder.released().size() != earlierReleases) {
-            EventLog.log(LogEvent.KEYS_RELEASED, "ranges", String.valueOf(holder.released()));
-            renew(nowNs);
-        }
-        deferredResponse = response;
+        reportReleases(nowNs);
         boolean keyed = authority.isKeyed(settings.self().service());
-        boolean hasNoKeyChange = !holder.hasLease(nowNs) || holder.mayDeferResponse(MIN_GRANTS_LEFT_NS, nowNs);
-        if (!keyed || stopping || presence.leaving() || !hasNoKeyChange) {
-            sendDeferred();
-            return;
-        }
-        loop.schedule(() -> sendIfDeferred(response), MAX_DEFERRAL_MS, TimeUnit.MILLISECONDS);
-    }
-
-    /** Sends the deferred heartbeat response if the granted keys have changed. */
-    private void sendDeferredOnKeyChange() {
-        long nowNs = System.nanoTime();
-        if (holder.hasLease(nowNs) && !holder.mayDeferResponse(0, nowNs)) {
-            sendDeferred();
-        }
+        delivery.heartbeatAccepted(response, keyed && !stopping && !presence.leaving());
     }
 
-    private void sendIfDeferred(Consumer<HeartbeatResponse> response) {
-        if (deferredResponse == response) {
-            sendDeferred();
-        }
-    }
-
-    /** Sends the deferred response to the latest heartbeat, if there is one. */
-    private void sendDeferred() {
-        if (deferredResponse != null) {
-            sendDeferred(holder.respond(System.nanoTime()));
-            gate.keysChanged();
-        }
-    }
-
-    private void sendDeferred(HeartbeatResponse content) {
-        Consumer<HeartbeatResponse> response = deferredResponse;
-        deferredResponse = null;
-        if (response != null) {
-            response.accept(content);
+    /** Tells the authority at once of ranges that the backend server has released. */
+    private void reportReleases(long nowNs) {
+        List<HolderReport.Released> released = holder.released();
+        if (released.size() > reportedReleases) {
+            EventLog.log(LogEvent.KEYS_RELEASED, "ranges", String.valueOf(released));
+            renew(nowNs);
         }
+        reportedReleases = released.size();
     }
 
     // ---- Records of the control topic ----
@@ -256,7 +219,7 @@
                 table.grants().size());
         if (service.equals(settings.self().service())) {
             holder.assign(table.heldBy(self));
-            sendDeferredOnKeyChange();
+            delivery.holderChanged();
             gate.keysChanged();
         }
         router.backendsChanged();
@@ -316,7 +279,7 @@
             holder.renewed(sentNs, reply.leaseMs());
         }
         holder.release(reply.release());
-        sendDeferredOnKeyChange();
+        delivery.holderChanged();
     }
 
     @Override
@@ -389,6 +352,8 @@
             long nowNs = System.nanoTime();
             detectPause();
             holder.tick(nowNs);
+            delivery.tick();
+            reportReleases(nowNs);
             for (PeerClient peer : peers.clients()) {
                 peer.closeIfSilent(nowNs);
             }
