--- a/router/src/main/java/org/siskintiller/router/control/ControlRecords.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlRecords.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.util.NetUtil;
 import org.siskintiller.core.keyrange.KeyGrant;
 import org.siskintiller.core.keyrange.KeyRange;
 import org.siskintiller.core.keyrange.KeyTable;
@@ -40,6 +41,10 @@
 
     static Member decodeMember(byte[] value) throws InvalidProtocolBufferException {
         CompanionProto.MemberRecord record = CompanionProto.MemberRecord.parseFrom(value);
+        // A host name would be looked up on the event loop.
+        if (!NetUtil.isValidIpV4Address(record.getHost()) && !NetUtil.isValidIpV6Address(record.getHost())) {
+            throw new IllegalArgumentException("host " + record.getHost() + " is no IP number");
+        }
         return new Member(
                 record.getInstance(),
                 new Address(record.getHost(), record.getPort()),
--- a/router/src/main/java/org/siskintiller/router/control/ControlState.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlState.java
@@ -77,11 +77,20 @@
             if (record.value().length == 0) {
                 members.remove(instance);
             } else {
-                members.put(instance, ControlRecords.decodeMember(record.value()));
+                Member member = ControlRecords.decodeMember(record.value());
+                requireKeyNames(instance, member.instance());
+                members.put(instance, member);
             }
         } else if (key.startsWith(ControlRecords.KEY_TABLE_PREFIX)) {
             KeyTable table = ControlRecords.decodeKeyTable(record.value());
+            requireKeyNames(key.substring(ControlRecords.KEY_TABLE_PREFIX.length()), table.service());
             tables.put(table.service(), table);
         }
     }
+
+    private static void requireKeyNames(String nameInKey, String nameInRecord) {
+        if (!nameInKey.equals(nameInRecord)) {
+            throw new IllegalArgumentException("the key names " + nameInKey + ", the record " + nameInRecord);
+        }
+    }
 }
--- a/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
+++ b/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
@@ -154,13 +154,22 @@
         hasPosition = true;
         for (StoredRecord record : batch.records()) {
             if (record.offset() >= knownEnd) {
-                listener.record(record);
+                notifyListener("record " + record.key() + " at " + record.offset(), () -> listener.record(record));
             }
         }
         if (isFirst) {
-            listener.caughtUp();
+            notifyListener("first read", listener::caughtUp);
+        }
+        notifyListener("read", listener::readCompleted);
+    }
+
+    /** Runs a reaction of the listener. An error in it must not end the feed, nor hide the records that follow. */
+    private void notifyListener(String subject, Runnable reaction) {
+        try {
+            reaction.run();
+        } catch (RuntimeException e) {
+            EventLog.log(LogEvent.UNEXPECTED_ERROR, topic + ": " + subject, e);
         }
-        listener.readCompleted();
     }
 
     private void readAfter(long delayMs) {
--- a/router/src/test/java/org/siskintiller/router/store/TopicFeedTest.java
+++ b/router/src/test/java/org/siskintiller/router/store/TopicFeedTest.java
@@ -67,6 +67,25 @@
         assertThat(store.readCount()).isEqualTo(1);
     }
 
+    /** Guards against a feed that ends because a record of another writer causes an unexpected error. */
+    @Test
+    void continuesAfterARecordThatTheListenerCannotProcess() throws Exception {
+        CountDownLatch second = new CountDownLatch(1);
+        CountDownLatch third = new CountDownLatch(1);
+        TopicFeed robustFeed =
+                new TopicFeed(new SteadyStore(), StoreTopic.CONTROL, loop, () -> READ_WAIT_MS, () -> 0, record -> {
+                    switch (record.key()) {
+                        case "first" -> throw new IllegalStateException("odd record");
+                        case "second" -> second.countDown();
+                        default -> third.countDown();
+                    }
+                });
+        loop.execute(robustFeed::start);
+
+        assertThat(second.await(IN_FORCE_MS, TimeUnit.MILLISECONDS)).isTrue();
+        assertThat(third.await(IN_FORCE_MS, TimeUnit.MILLISECONDS)).isTrue();
+    }
+
     private TopicFeed feed(RecordStore source) {
         return new TopicFeed(source, StoreTopic.OPERATOR, loop, () -> READ_WAIT_MS, () -> 0, record -> {
             deliveries.incrementAndGet();
@@ -124,4 +143,30 @@
         public void append(
                 StoreTopic topic, long expectedEnd, String key, byte[] value, Consumer<StoreResult<Long>> result) {}
     }
+
+    /** Delivers two records with the first read and one with each later read. */
+    private static final class SteadyStore implements RecordStore {
+        @Override
+        public void newest(StoreTopic topic, Consumer<StoreResult<RecordBatch>> result) {
+            result.accept(
+                    new StoreResult.Success<>(new RecordBatch(List.of(record("first", 0), record("second", 1)), 2)));
+        }
+
+        @Override
+        public void read(StoreTopic topic, long fromOffset, long waitMs, Consumer<StoreResult<RecordBatch>> result) {
+            if (fromOffset == 2) {
+                result.accept(new StoreResult.Success<>(new RecordBatch(List.of(record("third", 2)), 3)));
+            }
+        }
+
+        @Override
+        public void append(
+                StoreTopic topic, long expectedEnd, String key, byte[] value, Consumer<StoreResult<Long>> result) {
+            throw new IllegalStateException("nothing is appended");
+        }
+
+        private static StoredRecord record(String key, long offset) {
+            return new StoredRecord(key, new byte[0], offset);
+        }
+    }
 }
