Deliver complete responses to slow readers during a stop

Cause: a connection counted as idle as soon as its last response was handed to Netty, so that closing idle connections 2.3 s after the request to stop, and the idle timeout, cut what a slow caller had not read yet.

Result: CallerServerTest.deliversACompleteResponseToASlowReader failed before (a part of 32 MB arrived) and passes.

--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -11,6 +11,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -51,6 +52,11 @@
         return channel;
     }
 
+    boolean hasPendingWrites() {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer != null && buffer.totalPendingWriteBytes() > 0;
+    }
+
     boolean isIdle() {
         return exchanges.isEmpty() && head == null;
     }
@@ -94,7 +100,7 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event instanceof IdleStateEvent && isIdle()) {
+        if (event instanceof IdleStateEvent && isIdle() && !hasPendingWrites()) {
             context.close();
         }
     }
@@ -146,7 +152,7 @@
     }
 
     void closeWhenIdle() {
-        if (isIdle()) {
+        if (isIdle() && !hasPendingWrites()) {
             channel.close();
         }
     }
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
@@ -77,6 +77,11 @@
         List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
     }
 
+    /** Whether a part of a response has not been handed to the network yet. */
+    public boolean hasPendingWrites() {
+        return connections.stream().anyMatch(CallerConnection::hasPendingWrites);
+    }
+
     public void close() {
         serverChannel.close();
     }
--- a/router/src/test/java/org/siskintiller/router/ingress/CallerServerTest.java
+++ b/router/src/test/java/org/siskintiller/router/ingress/CallerServerTest.java
@@ -31,6 +31,8 @@
     private static final long SLOW_MS = 300;
     private static final long STALL_MS = 500;
     private static final int MAX_HEADER_BYTES = 1_000;
+    /** More than the buffers of both sockets hold. */
+    private static final int LARGE_BYTES = 32 * 1024 * 1024;
 
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) loops.next();
@@ -72,6 +74,25 @@
         }
     }
 
+    @Nested
+    class Stopping {
+        /** Guards against a planned stop that cuts the end of a response which its caller has not read yet. */
+        @Test
+        void deliversACompleteResponseToASlowReader() throws Exception {
+            try (Socket socket = send(get("/large"))) {
+                Thread.sleep(SLOW_MS);
+                loop.execute(() -> {
+                    server.stop();
+                    server.closeIdle();
+                });
+                Thread.sleep(SLOW_MS);
+                assertThat(server.hasPendingWrites()).isTrue();
+
+                assertThat(socket.getInputStream().readNBytes(LARGE_BYTES)).hasLength(LARGE_BYTES);
+            }
+        }
+    }
+
     @Nested
     class Stalling {
         /** Guards against requests that are forwarded after a stall although their callers have disconnected. */
@@ -183,6 +204,7 @@
                 response.data("part".getBytes(StandardCharsets.UTF_8), false);
                 loop.schedule(response::abort, SLOW_MS, TimeUnit.MILLISECONDS);
             }
+            case "/large" -> respond("x".repeat(LARGE_BYTES), response);
             case "/age" -> respond(String.valueOf((System.nanoTime() - request.arrivedNs()) / 1_000_000), response);
             case "/never" -> {
                 return callerDisconnected::countDown;
