Release the keys of a server that deregisters without draining

Cause: ranges were released with a heartbeat only. A server that deregisters first sends none, so that its keys stayed until the end of its hold.

Change: the message that a backend server leaves starts the release, which orders carry out at once.

--- a/core/src/main/java/org/siskintiller/core/lease/KeyHolder.java
+++ b/core/src/main/java/org/siskintiller/core/lease/KeyHolder.java
@@ -77,9 +77,16 @@
         }
     }
 
-    /** Releases all ranges from the next heartbeat on, because the backend server is leaving. */
+    /** Starts the release of all ranges, also of those assigned later, because the backend server is leaving. */
     public void releaseAll() {
         releaseAll = true;
+        releaseAssigned();
+    }
+
+    private void releaseAssigned() {
+        for (KeyGrant grant : assigned) {
+            addPendingRelease(grant.range(), grant.fence());
+        }
     }
 
     /** Processes a heartbeat and returns its response. A heartbeat that arrives out of order is granted nothing. */
@@ -100,9 +107,7 @@
         heldRanges = heartbeat.held();
         handovers.addAll(heartbeat.handovers());
         if (releaseAll) {
-            for (KeyGrant grant : assigned) {
-                addPendingRelease(grant.range(), grant.fence());
-            }
+            releaseAssigned();
         }
         completeReleases(heartbeat);
         return true;
--- a/router/src/main/java/org/siskintiller/router/backend/HeartbeatHandler.java
+++ b/router/src/main/java/org/siskintiller/router/backend/HeartbeatHandler.java
@@ -2,10 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 
-import org.siskintiller.core.lease.BackendHeartbeat;
 import org.siskintiller.core.lease.HeartbeatResponse;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
@@ -23,15 +20,12 @@
 
     private final HeartbeatCodec codec;
     private final BackendGate gate;
-    private final BiConsumer<BackendHeartbeat, Consumer<HeartbeatResponse>> keyReportHandler;
+    private final KeyReports keyReports;
 
-    public HeartbeatHandler(
-            HeartbeatCodec codec,
-            BackendGate gate,
-            BiConsumer<BackendHeartbeat, Consumer<HeartbeatResponse>> keyReportHandler) {
+    public HeartbeatHandler(HeartbeatCodec codec, BackendGate gate, KeyReports keyReports) {
         this.codec = codec;
         this.gate = gate;
-        this.keyReportHandler = keyReportHandler;
+        this.keyReports = keyReports;
     }
 
     @Override
@@ -46,6 +40,7 @@
             handleHeartbeat(heartbeat, response, nowNs);
         } else if (message.get() instanceof HeartbeatCodec.Leave leave) {
             gate.processLeave(leave.id(), nowNs);
+            keyReports.backendLeft();
             response.send(OK, List.of(), new byte[0]);
         } else if (message.get() instanceof HeartbeatCodec.Malformed malformed) {
             EventLog.log(LogEvent.BACKEND_ANNOUNCEMENT_INVALID, "cause", malformed.detail());
@@ -60,7 +55,7 @@
             response.send(OK, JSON, codec.encode(HeartbeatResponse.RENEWS_NOTHING));
             return;
         }
-        keyReportHandler.accept(
+        keyReports.heartbeat(
                 heartbeat.keyReport(), heartbeatResponse -> response.send(OK, JSON, codec.encode(heartbeatResponse)));
     }
 }
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -22,6 +22,7 @@
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.backend.BackendGate;
 import org.siskintiller.router.backend.CrashDetector;
+import org.siskintiller.router.backend.KeyReports;
 import org.siskintiller.router.peer.FleetIntervals;
 import org.siskintiller.router.peer.LeaseReply;
 import org.siskintiller.router.peer.PeerClient;
@@ -37,7 +38,7 @@
  * Runs the control part of a companion: registers it as a member, follows the control records and the other companions,
  * and renews the lease of its backend server.
  */
-public final class ControlDriver implements PeerEvents, TopicFeed.FeedListener {
+public final class ControlDriver implements PeerEvents, TopicFeed.FeedListener, KeyReports {
     private static final long TICK_INTERVAL_MS = 100;
     /** Interval at which the request rates of keys are computed. */
     private static final long RATES_INTERVAL_NS = 500_000_000L;
@@ -144,6 +145,7 @@
     }
 
     /** Processes the keys of a heartbeat and responds with the granted keys. */
+    @Override
     public void heartbeat(BackendHeartbeat heartbeat, Consumer<HeartbeatResponse> response) {
         long nowNs = System.nanoTime();
         detectPause();
@@ -160,6 +162,15 @@
         delivery.heartbeatAccepted(response, keyed && !stopping && !presence.leaving());
     }
 
+    /** Takes the keys back from a backend server that is leaving. */
+    @Override
+    public void backendLeft() {
+        if (presence.leaving()) {
+            holder.releaseAll();
+            delivery.holderChanged();
+        }
+    }
+
     /** Tells the authority at once of ranges that the backend server has released. */
     private void reportReleases(long nowNs) {
         List<HolderReport.Released> released = holder.released();
