Give every request a response before a stop ends

Cause: requests that arrive in the first 2.3 s of a stop, and calls of running requests later, were passed on with their whole deadline. When they ran longer than the grace time, the process ended without a response, also to requests that must not be repeated.

Change: from the request to stop, backend servers receive a deadline that ends 0.9 s before the kill, so that they end the request themselves. A request with less than 0.1 s until then is refused as not run. What is open at the end is answered 504.

--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -55,6 +55,9 @@
     /** A graceful stop ends this long before the process is killed. */
     private static final long KILL_MARGIN_MS = 500;
 
+    /** Requests that arrive during a stop end this long before it: time for the responses of the backend servers. */
+    private static final long LAST_RESPONSES_MS = 400;
+
     private static final long STOP_CHECK_INTERVAL_MS = 50;
     private static final CallerLimits LOCAL_LIMITS = new CallerLimits(16_384, 1 << 20, 60_000);
 
@@ -111,7 +114,7 @@
         this.peerServer = new PeerServer(loop, lag, gate, control, settings.linkBytesPerSecond());
         this.callerServer = new CallerServer(loop, lag, router, this::callerLimits);
         this.readinessServer = new CallerServer(loop, lag, this::ready, () -> LOCAL_LIMITS);
-        CallerHandler heartbeatHandler = new HeartbeatHandler(heartbeatCodec, gate, control::heartbeat);
+        CallerHandler heartbeatHandler = new HeartbeatHandler(heartbeatCodec, gate, control);
         this.heartbeatServer = new CallerServer(loop, lag, heartbeatHandler, () -> LOCAL_LIMITS);
         this.metricsServer = new CallerServer(loop, lag, this::metricsPage, () -> LOCAL_LIMITS);
     }
@@ -155,6 +158,10 @@
             stopping = true;
             long startNs = System.nanoTime();
             EventLog.log(LogEvent.STOP_REQUESTED, "open", router.openRequests(), "in_flight", gate.inFlight());
+            long lastDeadlineMs = settings.graceMs() - KILL_MARGIN_MS - LAST_RESPONSES_MS;
+            long lastDeadlineNs = startNs + TimeUnit.MILLISECONDS.toNanos(lastDeadlineMs);
+            router.endRequestsBy(lastDeadlineNs);
+            gate.endRequestsBy(lastDeadlineNs);
             control.stop();
             callerServer.stop();
             loop.schedule(() -> refuseNewRequests(startNs), READINESS_NOTICE_MS, TimeUnit.MILLISECONDS);
@@ -186,7 +193,10 @@
 
     private void finishStop(long startNs) {
         long elapsedMs = (System.nanoTime() - startNs) / 1_000_000;
-        boolean idle = router.openRequests() == 0 && gate.inFlight() == 0 && peerServer.waitingWrites() == 0;
+        boolean idle = router.openRequests() == 0
+                && gate.inFlight() == 0
+                && peerServer.waitingWrites() == 0
+                && !callerServer.hasPendingWrites();
         boolean timedOut = elapsedMs >= settings.graceMs() - KILL_MARGIN_MS;
         if (!idle && !timedOut) {
             loop.schedule(() -> finishStop(startNs), STOP_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -194,10 +204,12 @@
         }
         if (!idle) {
             EventLog.log(LogEvent.STOP_TIMED_OUT, "open", router.openRequests(), "in_flight", gate.inFlight());
+            router.endOpenRequests();
         }
         callerServer.closeIdle();
         EventLog.log(LogEvent.STOPPED, "after_ms", elapsedMs);
-        stopped.countDown();
+        // The responses that were just written need one more pass of the event loop.
+        loop.schedule(stopped::countDown, STOP_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     private CallerLimits callerLimits() {
--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -70,6 +70,7 @@
     private boolean sweepScheduled;
     private boolean dispatchScheduled;
     private boolean stopping;
+    private long latestDeadlineNs = Long.MAX_VALUE;
 
     public BackendGate(
             EventLoop loop,
@@ -158,6 +159,11 @@
         stopping = true;
     }
 
+    /** Lets the backend server end the requests that arrive from now on before the process stops. */
+    public void endRequestsBy(long stopNs) {
+        latestDeadlineNs = stopNs;
+    }
+
     /** Whether the backend server is running the request with the given id. */
     public boolean runs(String requestId) {
         return runningIds.contains(requestId);
@@ -172,7 +178,8 @@
     }
 
     @Override
-    public SentRequest send(ForwardedRequest request, ResponseListener listener) {
+    public SentRequest send(ForwardedRequest newRequest, ResponseListener listener) {
+        ForwardedRequest request = newRequest.endingBy(latestDeadlineNs);
         long nowNs = System.nanoTime();
         GateCall call = new GateCall(this, request, listener, QueuePlace.of(request, nowNs), sequence++, nowNs);
         if (request.key() != ForwardedRequest.NO_KEY && keys.holder().isAssigned(request.key())) {
--- a/router/src/main/java/org/siskintiller/router/request/ForwardedRequest.java
+++ b/router/src/main/java/org/siskintiller/router/request/ForwardedRequest.java
@@ -36,4 +36,25 @@
         Objects.requireNonNull(kind, "kind");
         headers = List.copyOf(headers);
     }
+
+    /** Returns the request with a deadline that is not later than the given time. */
+    public ForwardedRequest endingBy(long latestDeadlineNs) {
+        if (deadlineNs <= latestDeadlineNs) {
+            return this;
+        }
+        return new ForwardedRequest(
+                requestId,
+                service,
+                method,
+                uri,
+                headers,
+                body,
+                latestDeadlineNs,
+                objectiveNs,
+                priority,
+                kind,
+                internal,
+                key,
+                fingerprint);
+    }
 }
--- a/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
@@ -39,6 +39,11 @@
     /** Time for the caller to connect to another machine, or for the next process on this machine to start. */
     private static final String STOPPING_RETRY_AFTER_S = "0.3";
 
+    /** A request that has less time until the end of the process is refused. */
+    private static final long MIN_TIME_BEFORE_STOP_NS = 100_000_000L;
+    /** Time for the response with which the backend server ends a request at the end of the process. */
+    private static final long LAST_RESPONSE_NS = 200_000_000L;
+
     private static final int MAX_KEY = 65_535;
 
     private final EventLoop loop;
@@ -60,6 +65,8 @@
     private int companionCount = 1;
     private boolean parkedRetryScheduled;
     private boolean stopping;
+    /** Time by which every request must have its response, because the process ends soon after. */
+    private long stopNs = Long.MAX_VALUE;
 
     /**
      * Creates the router.
@@ -119,6 +126,19 @@
         stopping = true;
     }
 
+    /**
+     * Lets the backend servers end all requests that arrive from now on before the process stops. A request that is
+     * still running then would lose its response.
+     */
+    public void endRequestsBy(long newStopNs) {
+        stopNs = newStopNs;
+    }
+
+    /** Responds to all open requests, because the process ends. */
+    public void endOpenRequests() {
+        List.copyOf(openTasks).forEach(RequestTask::processEnds);
+    }
+
     public int openRequests() {
         return openTasks.size();
     }
@@ -137,7 +157,8 @@
                     "no configuration has been received yet",
                     List.of(new Header("Retry-After", NOT_READY_RETRY_AFTER_S)));
         }
-        if (stopping && !isInternal(id)) {
+        boolean hasTime = stopNs == Long.MAX_VALUE || stopNs - System.nanoTime() > MIN_TIME_BEFORE_STOP_NS;
+        if (!hasTime || stopping && !isInternal(id)) {
             return respondWithError(
                     response,
                     request,
@@ -212,7 +233,8 @@
         long waitedMs = internal ? 0 : waitedMs(route, deadlineMs);
         long objectiveMs = route.objectiveMs() - waitedMs;
         long arrivedNs = request.arrivedNs();
-        long deadlineNs = arrivedNs + TimeUnit.MILLISECONDS.toNanos(Math.min(deadlineMs, route.timeoutMs()));
+        long requestedDeadlineNs = arrivedNs + TimeUnit.MILLISECONDS.toNanos(Math.min(deadlineMs, route.timeoutMs()));
+        long deadlineNs = Math.min(requestedDeadlineNs, stopNs);
         String service = serviceSplit.choose(route);
         List<Header> headers = HopByHopHeaders.endToEnd(request.headers(), replacedHeaders);
         headers.add(new Header(names.callerService(), settings.callerService()));
@@ -233,8 +255,15 @@
         if (!internal) {
             retryBudget(service).requested(arrivedNs);
         }
+        long lastResponseNs = Math.min(requestedDeadlineNs, deadlineNs + LAST_RESPONSE_NS);
         return new RequestTask(
-                this, route, forwarded, response, arrivedNs, arrivedNs + TimeUnit.MILLISECONDS.toNanos(deadlineMs));
+                this,
+                route,
+                forwarded,
+                response,
+                arrivedNs,
+                lastResponseNs,
+                arrivedNs + TimeUnit.MILLISECONDS.toNanos(deadlineMs));
     }
 
     /** An internal call has the id of the request that the backend server runs, a dot and an id of its own. */
--- a/router/src/main/java/org/siskintiller/router/request/RequestTask.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTask.java
@@ -64,6 +64,7 @@
             ForwardedRequest request,
             CallerResponse response,
             long arrivedNs,
+            long lastResponseNs,
             long callerDeadlineNs) {
         this.router = router;
         this.route = route;
@@ -71,7 +72,7 @@
         this.response = response;
         this.arrivedNs = arrivedNs;
         this.callerDeadlineNs = callerDeadlineNs;
-        long remainingNs = request.deadlineNs() - System.nanoTime();
+        long remainingNs = lastResponseNs - System.nanoTime();
         this.deadlineTimer =
                 router.loop().schedule(this::deadlinePassed, Math.max(0, remainingNs), TimeUnit.NANOSECONDS);
         response.onWritten(this::bodyWritten);
@@ -312,6 +313,15 @@
     }
 
     private void deadlinePassed() {
+        endNow("deadline passed");
+    }
+
+    /** Responds at once: with a closed connection the caller would not know that nothing follows. */
+    void processEnds() {
+        endNow("the process ends");
+    }
+
+    private void endNow(String cause) {
         if (ended) {
             return;
         }
@@ -326,7 +336,7 @@
             deliver(fallbackResponse);
             return;
         }
-        lastCause = "deadline passed; " + lastCause;
+        lastCause = cause + "; " + lastCause;
         if (attemptPending || mayHaveRun) {
             respondWithError(GATEWAY_TIMEOUT, List.of());
         } else {
