Keep the kind of a download between companions

Cause: a forwarded request carried only whether it may be repeated, so that the companion beside the backend server never recognised a download and its body never waited for the link.

Change: the request says whether it is a download.

Result: FramesTest.keepsItsKind failed for DOWNLOAD before and passes.

--- a/router/src/main/java/org/siskintiller/router/peer/Frames.java
+++ b/router/src/main/java/org/siskintiller/router/peer/Frames.java
@@ -43,6 +43,7 @@
                 .setObjectiveMs(remainingMs(request.objectiveNs(), nowNs))
                 .setPriority(request.priority())
                 .setIdempotent(request.kind().repeatable())
+                .setDownload(request.kind() == RequestKind.DOWNLOAD)
                 .setInternal(request.internal())
                 .setKeyPlusOne(request.key() + 1)
                 .setFingerprint(request.fingerprint());
@@ -66,12 +67,19 @@
                 nowNs + TimeUnit.MILLISECONDS.toNanos(request.getRemainingMs()),
                 nowNs + TimeUnit.MILLISECONDS.toNanos(request.getObjectiveMs()),
                 request.getPriority(),
-                request.getIdempotent() ? RequestKind.IDEMPOTENT : RequestKind.NON_IDEMPOTENT,
+                kind(request),
                 request.getInternal(),
                 request.getKeyPlusOne() - 1,
                 request.getFingerprint());
     }
 
+    private static RequestKind kind(CompanionProto.Request request) {
+        if (!request.getIdempotent()) {
+            return RequestKind.NON_IDEMPOTENT;
+        }
+        return request.getDownload() ? RequestKind.DOWNLOAD : RequestKind.IDEMPOTENT;
+    }
+
     static Frame cancel(int stream) {
         return Frame.newBuilder()
                 .setCancel(CompanionProto.Cancel.newBuilder().setStream(stream))
--- /dev/null
+++ b/router/src/test/java/org/siskintiller/router/peer/FramesTest.java
@@ -0,0 +1,49 @@
+package org.siskintiller.router.peer;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.siskintiller.core.path.RequestKind;
+import org.siskintiller.router.request.ForwardedRequest;
+import org.siskintiller.router.request.Header;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class FramesTest {
+    private static final long MS = 1_000_000;
+
+    @Nested
+    class Request {
+        /** Guards against a download whose body does not wait for the link, since its kind is lost on the way. */
+        @ParameterizedTest
+        @EnumSource
+        void keepsItsKind(RequestKind kind) {
+            ForwardedRequest request = new ForwardedRequest(
+                    "id",
+                    "service",
+                    "GET",
+                    "/a",
+                    List.of(new Header("name", "value")),
+                    new byte[] {1, 2},
+                    500 * MS,
+                    100 * MS,
+                    1,
+                    kind,
+                    true,
+                    7,
+                    9);
+
+            ForwardedRequest received =
+                    Frames.request(Frames.request(1, request, 0).getRequest(), 0);
+
+            assertThat(received.kind()).isEqualTo(kind);
+            assertThat(received.deadlineNs()).isEqualTo(request.deadlineNs());
+            assertThat(received.objectiveNs()).isEqualTo(request.objectiveNs());
+            assertThat(received.headers()).isEqualTo(request.headers());
+            assertThat(received.body()).isEqualTo(request.body());
+            assertThat(received.key()).isEqualTo(7);
+        }
+    }
+}
