Let a few companions read the store for all

Cause: every companion waited for new records at the store, so that each record completed as many reads as there are companions. Each companion also computed the order of all candidates for the authority ten times a second.

Change: ReaderChoice names one reader in each failure domain, five at least. Readers pass new records and configurations on to their domain. The others pause their feeds, read when a status shows a record that does not arrive within 250 ms, when no reader has a recent contact, and once in 20 s. The authority always reads. The order of candidates is computed only while the authority is vacant.

--- a/core/src/main/java/org/siskintiller/core/lease/Election.java
+++ b/core/src/main/java/org/siskintiller/core/lease/Election.java
@@ -1,5 +1,7 @@
 package org.siskintiller.core.lease;
 
+import java.util.function.IntSupplier;
+
 /** Decides when an instance claims the lease authority. The store decides between concurrent claims. */
 public final class Election {
     /** Time without a message after which the authority counts as failed: three renewals and their responses. */
@@ -16,9 +18,10 @@
     /**
      * Returns whether to append a claim now.
      *
-     * @param rank place of this instance in the order of candidates, 0 is the first
+     * @param rank returns the place of this instance in the order of candidates, 0 is the first. Its cost grows with the
+     *     fleet, so it is asked only while the authority is vacant
      */
-    public boolean shouldClaim(View view, int rank, long nowNs) {
+    public boolean shouldClaim(View view, IntSupplier rank, long nowNs) {
         if (!view.storeReachable() || view.stopping() || !isVacant(view, nowNs)) {
             vacantSinceNs = Long.MIN_VALUE;
             return false;
@@ -26,7 +29,7 @@
         if (vacantSinceNs == Long.MIN_VALUE) {
             vacantSinceNs = nowNs;
         }
-        return nowNs - vacantSinceNs >= Math.min(rank, MAX_DELAYED_RANK) * RANK_DELAY_NS;
+        return nowNs - vacantSinceNs >= Math.min(rank.getAsInt(), MAX_DELAYED_RANK) * RANK_DELAY_NS;
     }
 
     private static boolean isVacant(View view, long nowNs) {
--- /dev/null
+++ b/core/src/test/java/org/siskintiller/core/supply/ReaderChoiceTest.java
@@ -0,0 +1,82 @@
+package org.siskintiller.core.supply;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.siskintiller.core.supply.ReaderChoice.Companion;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ReaderChoiceTest {
+    @Nested
+    class Readers {
+        /** Guards against reads that grow with the fleet: each record would cost a call of every companion. */
+        @Test
+        void doNotGrowWithTheFleet() {
+            assertThat(ReaderChoice.readers(fleet(95, 6))).hasSize(6);
+            assertThat(ReaderChoice.readers(fleet(5_200, 4))).hasSize(ReaderChoice.MIN_READERS);
+        }
+
+        /** Guards against a failure domain that must be supplied from another one. */
+        @Test
+        void areInEachFailureDomain() {
+            List<Companion> fleet = fleet(95, 6);
+            Set<String> readers = ReaderChoice.readers(fleet);
+
+            assertThat(fleet.stream()
+                            .filter(companion -> readers.contains(companion.instance()))
+                            .map(Companion::failureDomain)
+                            .distinct())
+                    .hasSize(6);
+        }
+
+        /** Guards against a lost reader that nobody replaces, and against a loss that changes all readers. */
+        @Test
+        void areReplacedOneByOne() {
+            List<Companion> fleet = fleet(30, 3);
+            Set<String> before = ReaderChoice.readers(fleet);
+            String lost = before.iterator().next();
+            fleet.removeIf(companion -> companion.instance().equals(lost));
+
+            Set<String> after = ReaderChoice.readers(fleet);
+
+            assertThat(after).hasSize(ReaderChoice.MIN_READERS);
+            assertThat(after.stream().filter(before::contains).count()).isAtLeast(ReaderChoice.MIN_READERS - 2);
+        }
+
+        /** Guards against a companion that reads nothing although it is alone. */
+        @Test
+        void includeACompanionThatIsAlone() {
+            assertThat(ReaderChoice.readers(fleet(1, 1))).containsExactly("machine-0");
+        }
+    }
+
+    @Nested
+    class Supply {
+        /** Guards against a companion that waits for readers that the store turns away. */
+        @Test
+        void needsAReaderThatReachesTheStore() {
+            List<Companion> reachable = fleet(30, 3);
+            Set<String> readers = ReaderChoice.readers(reachable);
+            List<Companion> unreachable = reachable.stream()
+                    .map(companion -> new Companion(companion.instance(), companion.failureDomain(), 20_000))
+                    .toList();
+
+            assertThat(ReaderChoice.hasSupplier("machine-0", reachable, readers))
+                    .isTrue();
+            assertThat(ReaderChoice.hasSupplier("machine-0", unreachable, readers))
+                    .isFalse();
+        }
+    }
+
+    private static List<Companion> fleet(int size, int domains) {
+        List<Companion> fleet = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            fleet.add(new Companion("machine-" + i, "domain-" + i % domains, 500));
+        }
+        return fleet;
+    }
+}
--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -35,6 +35,7 @@
 import org.siskintiller.router.control.Member;
 import org.siskintiller.router.control.OrderDelivery;
 import org.siskintiller.router.control.PeerDirectory;
+import org.siskintiller.router.control.StoreSupply;
 import org.siskintiller.router.ingress.CallerHandler;
 import org.siskintiller.router.ingress.CallerRequest;
 import org.siskintiller.router.ingress.CallerResponse;
@@ -101,14 +102,15 @@
         PeerDirectory peers = new PeerDirectory(
                 settings.instance(), settings.failureDomain(), settings.service(), loop, state, gate, intervals);
         this.router = new RequestRouter(loop, lag, names, settings.router(), peers, gate::runs, metrics);
-        this.config = new ConfigFeed(store, loop, intervals, configDecoder, router, metrics);
+        StoreSupply supply = new StoreSupply(self, state, peers);
+        this.config = new ConfigFeed(store, loop, supply, configDecoder, router, metrics);
         this.control = new ControlDriver(
                 new ControlSettings(self, new Incarnation(new SecureRandom().nextLong())),
                 store,
                 loop,
                 state,
                 peers,
-                intervals,
+                supply,
                 new LocalBackend(gate, presence, crashes, keys, delivery(keys.holder(), orderCodec)));
         peers.listen(control);
         this.peerServer = new PeerServer(loop, lag, gate, control, settings.linkBytesPerSecond());
--- a/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
+++ b/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
@@ -9,7 +9,6 @@
 import org.siskintiller.core.path.RouteTable;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
-import org.siskintiller.router.peer.FleetIntervals;
 import org.siskintiller.router.request.RequestRouter;
 import org.siskintiller.router.store.RecordStore;
 import org.siskintiller.router.store.StoreTopic;
@@ -18,15 +17,13 @@
 
 /** Applies the operator's newest configuration. Within a process the version never decreases. */
 public final class ConfigFeed implements TopicFeed.FeedListener {
-    /**
-     * A stalled connection to the store must be detected within 5 s, by when a new configuration must be applied. In a
-     * large fleet, where reads wait longer, the status of other companions reveals a missed configuration.
-     */
-    private static final long READ_WAIT_MS = 3_000;
+    /** A stalled connection to the store must be detected within 5 s, by when a new configuration must be applied. */
+    static final long READ_WAIT_MS = 3_000;
 
     private final ConfigDecoder decoder;
     private final RequestRouter router;
     private final TopicFeed feed;
+    private final StoreSupply supply;
     private final Timer decodeTimer;
     private final Counter copies;
     private volatile RouteTable routes;
@@ -35,7 +32,7 @@
     public ConfigFeed(
             RecordStore store,
             EventLoop loop,
-            FleetIntervals intervals,
+            StoreSupply supply,
             ConfigDecoder decoder,
             RequestRouter router,
             MetricRegistry metrics) {
@@ -44,8 +41,9 @@
         this.decodeTimer = metrics.timer("config.decode");
         this.copies = metrics.counter("config.copies");
         metrics.gauge("config.version", () -> this::version);
-        this.feed = new TopicFeed(
-                store, StoreTopic.OPERATOR, loop, () -> intervals.readWaitMs(READ_WAIT_MS), () -> 0, this);
+        this.supply = supply;
+        this.feed =
+                new TopicFeed(store, StoreTopic.OPERATOR, loop, () -> READ_WAIT_MS, () -> 0, supply::isSupplied, this);
     }
 
     public void start() {
@@ -55,12 +53,25 @@
     @Override
     public void record(StoredRecord record) {
         if (record.key().equals(decoder.key()) && record.value().length > 0) {
-            received(record.value(), "store");
+            if (apply(record.value(), "store")) {
+                supply.passOn(record.value());
+            }
         }
     }
 
-    /** Applies a configuration from the store or another companion if it is newer than the one in force. */
+    /** Applies a configuration from another companion if it is newer than the one in force. */
     public void received(byte[] newContent, String from) {
+        if (apply(newContent, from)) {
+            feed.recordsPassedOn();
+        }
+    }
+
+    /** Runs at regular intervals. */
+    void tick() {
+        feed.resumeIfNeeded();
+    }
+
+    private boolean apply(byte[] newContent, String from) {
         copies.inc();
         long startNs = System.nanoTime();
         RouteTable next;
@@ -68,12 +79,12 @@
             next = decoder.decode(newContent);
         } catch (ConfigDecoder.InvalidConfigException e) {
             EventLog.log(LogEvent.SETTINGS_INVALID, "configuration from " + from + " ignored", e);
-            return;
+            return false;
         }
         long decodeNs = System.nanoTime() - startNs;
         decodeTimer.update(decodeNs, TimeUnit.NANOSECONDS);
         if (routes != null && next.version() <= routes.version()) {
-            return;
+            return false;
         }
         EventLog.log(
                 LogEvent.CONFIG_IN_FORCE,
@@ -94,6 +105,7 @@
         routes = next;
         content = newContent.clone();
         router.apply(next);
+        return true;
     }
 
     /** Reports that another companion has a newer version in force. */
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -1,5 +1,6 @@
 package org.siskintiller.router.control;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,7 +39,7 @@
  * Runs the control part of a companion: registers it as a member, follows the control records and the other companions,
  * and renews the lease of its backend server.
  */
-public final class ControlDriver implements PeerEvents, TopicFeed.FeedListener, KeyReports {
+public final class ControlDriver implements PeerEvents, KeyReports {
     private static final long TICK_INTERVAL_MS = 100;
     /** Interval at which the request rates of keys are computed. */
     private static final long RATES_INTERVAL_NS = 500_000_000L;
@@ -54,8 +55,8 @@
     static final long APPEND_RETRY_NS = 700_000_000L;
     /** The authority is responsive for this long after a message: two renewal intervals and the network delay. */
     private static final long AUTHORITY_TIMEOUT_NS = 1_200_000_000L;
-    /** Time that a read waits for a record. The store accepts up to 30 s; each call is charged. */
-    private static final long READ_WAIT_MS = 8_000;
+    /** Time that a read waits for a record. It bounds the age of the last contact, by which readers are chosen. */
+    static final long READ_WAIT_MS = 3_000;
     /** The last contact of the authority with the store is at most twice as old as this. */
     private static final long AUTHORITY_READ_WAIT_MS = 1_000;
     /** Requests per second that one slot is assumed to serve while its service time is unknown. */
@@ -75,6 +76,7 @@
     private final KeyHolder holder;
     private final KeyRates keyRates;
     private final GrantDelivery delivery;
+    private final StoreSupply supply;
     private final TopicFeed feed;
     private final Map<Integer, Long> renewalSendTimesNs = new HashMap<>();
     private RequestRouter router;
@@ -99,7 +101,7 @@
             EventLoop loop,
             ControlState state,
             PeerDirectory peers,
-            FleetIntervals intervals,
+            StoreSupply supply,
             LocalBackend backend) {
         this.settings = settings;
         this.self = settings.self().instance();
@@ -108,15 +110,22 @@
         this.loop = loop;
         this.state = state;
         this.peers = peers;
-        this.intervals = intervals;
+        this.intervals = peers.intervals();
         this.gate = backend.gate();
         this.presence = backend.presence();
         this.crashes = backend.crashes();
         this.holder = backend.keys().holder();
         this.keyRates = backend.keys().rates();
         this.delivery = backend.delivery();
-        this.feed =
-                new TopicFeed(store, StoreTopic.CONTROL, loop, this::readWaitMs, intervals::minReadIntervalMs, this);
+        this.supply = supply;
+        this.feed = new TopicFeed(
+                store,
+                StoreTopic.CONTROL,
+                loop,
+                this::readWaitMs,
+                () -> FleetIntervals.minReadIntervalMs(supply.readingCompanions()),
+                supply::isSupplied,
+                new StoreRecords());
     }
 
     public void start(RequestRouter newRouter, ConfigFeed newConfig, Runnable newStatusPublisher) {
@@ -183,10 +192,10 @@
 
     // ---- Records of the control topic ----
 
-    @Override
-    public void record(StoredRecord record) {
+    /** Applies a record and returns whether it changed anything. */
+    private boolean apply(StoredRecord record) {
         if (!state.apply(record)) {
-            return;
+            return false;
         }
         String key = record.key();
         if (key.startsWith(ControlRecords.MEMBER_PREFIX)) {
@@ -200,18 +209,7 @@
         } else if (key.startsWith(ControlRecords.KEY_TABLE_PREFIX)) {
             tableChanged(key.substring(ControlRecords.KEY_TABLE_PREFIX.length()), record.offset());
         }
-    }
-
-    @Override
-    public void caughtUp() {
-        caughtUp = true;
-        EventLog.log(LogEvent.MEMBERS_READ, "members", state.members().size(), "end", state.end());
-        register();
-    }
-
-    @Override
-    public void readCompleted() {
-        authority.readCompleted(System.nanoTime());
+        return true;
     }
 
     private void tableChanged(String service, long offset) {
@@ -284,7 +282,7 @@
         }
         latestTerm = reply.term();
         lastAuthorityMessageNs = nowNs;
-        reply.records().forEach(this::record);
+        reply.records().forEach(this::apply);
         detectPause();
         if (reply.leaseMs() > 0) {
             holder.renewed(sentNs, reply.leaseMs());
@@ -305,14 +303,16 @@
         if (status.recordsEnd() > state.end()) {
             feed.newerRecordsExist();
         }
+        // A record that was passed on may have crossed this status, so only what was known at the last one counts.
         if (status.storeAgeMs() > STALE_STORE_CONTACT_MS && peers.suppliesUpdatesTo(client.instance())) {
-            if (status.recordsEnd() < state.end()) {
+            if (status.recordsEnd() < client.knownEnd()) {
                 client.shareRecords(state.records());
             }
-            if (status.configVersion() < config.version()) {
+            if (status.configVersion() < client.knownConfigVersion()) {
                 client.shareConfig(config.content());
             }
         }
+        client.recordKnown(state.end(), config.version());
     }
 
     @Override
@@ -327,7 +327,8 @@
 
     @Override
     public void recordsReceived(List<StoredRecord> records) {
-        records.forEach(this::record);
+        records.forEach(this::apply);
+        feed.recordsPassedOn();
     }
 
     @Override
@@ -379,6 +380,9 @@
                 publishStatus();
             }
             register();
+            supply.setAlwaysReads(authority.active());
+            feed.resumeIfNeeded();
+            config.tick();
             if (caughtUp) {
                 authority.tick(lastAuthorityMessageNs, authorityStoreAgeNs, nowNs);
             }
@@ -406,7 +410,7 @@
 
     /** The authority needs a recent contact. It sends other companions the records that they lack. */
     private long readWaitMs() {
-        return authority.active() ? AUTHORITY_READ_WAIT_MS : intervals.readWaitMs(READ_WAIT_MS);
+        return authority.active() ? AUTHORITY_READ_WAIT_MS : READ_WAIT_MS;
     }
 
     private void register() {
@@ -458,4 +462,31 @@
     private boolean isAuthorityResponsive(long nowNs) {
         return authority.active() || nowNs - lastAuthorityMessageNs < AUTHORITY_TIMEOUT_NS;
     }
+
+    /** Receives the records that this companion reads itself. */
+    private final class StoreRecords implements TopicFeed.FeedListener {
+        private final List<StoredRecord> changes = new ArrayList<>();
+
+        @Override
+        public void record(StoredRecord record) {
+            if (apply(record)) {
+                changes.add(record);
+            }
+        }
+
+        @Override
+        public void caughtUp() {
+            caughtUp = true;
+            EventLog.log(LogEvent.MEMBERS_READ, "members", state.members().size(), "end", state.end());
+            register();
+            changes.clear();
+        }
+
+        @Override
+        public void readCompleted() {
+            supply.passOn(List.copyOf(changes));
+            changes.clear();
+            authority.readCompleted(System.nanoTime());
+        }
+    }
 }
--- a/router/src/main/java/org/siskintiller/router/control/PeerDirectory.java
+++ b/router/src/main/java/org/siskintiller/router/control/PeerDirectory.java
@@ -103,6 +103,10 @@
         return Math.min(distance, names.size() - distance) <= SUPPLIERS_PER_SIDE;
     }
 
+    FleetIntervals intervals() {
+        return intervals;
+    }
+
     public Collection<PeerClient> clients() {
         return clients.values();
     }
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
@@ -0,0 +1,102 @@
+package org.siskintiller.router.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.siskintiller.core.supply.ReaderChoice;
+import org.siskintiller.router.peer.PeerClient;
+import org.siskintiller.router.peer.PeerStatus;
+import org.siskintiller.router.store.StoredRecord;
+
+/**
+ * Decides from the connected companions whether this one reads the store or is supplied by others, and passes what it has
+ * read on to those that it supplies.
+ */
+public final class StoreSupply {
+    /** Interval at which the choice of readers is computed again. */
+    private static final long REFRESH_INTERVAL_NS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    private final Member self;
+    private final ControlState state;
+    private final PeerDirectory peers;
+    private Set<String> readers = Set.of();
+    private boolean hasSupplier;
+    private int connectedCount = 1;
+    private long refreshedNs = Long.MIN_VALUE / 2;
+    private boolean alwaysReads;
+
+    public StoreSupply(Member self, ControlState state, PeerDirectory peers) {
+        this.self = self;
+        this.state = state;
+        this.peers = peers;
+    }
+
+    /** Sets whether this companion reads in any case, because it must know the present state of the store. */
+    void setAlwaysReads(boolean reads) {
+        alwaysReads = reads;
+    }
+
+    /** Whether other companions pass new records on to this one, so that it need not read. */
+    public boolean isSupplied() {
+        refresh();
+        return !alwaysReads && !readers.contains(self.instance()) && hasSupplier;
+    }
+
+    /** Number of companions that may read at the same time. */
+    public int readingCompanions() {
+        refresh();
+        return Math.max(0, state.members().size() - connectedCount) + readers.size();
+    }
+
+    /** Passes records of the store on to the companions that this one supplies. */
+    void passOn(List<StoredRecord> records) {
+        if (!records.isEmpty()) {
+            suppliedClients().forEach(client -> client.shareRecords(records));
+        }
+    }
+
+    /** Passes a configuration of the store on to the companions that this one supplies. */
+    void passOn(byte[] config) {
+        suppliedClients().forEach(client -> client.shareConfig(config));
+    }
+
+    private List<PeerClient> suppliedClients() {
+        refresh();
+        List<PeerClient> supplied = new ArrayList<>();
+        if (!readers.contains(self.instance())) {
+            return supplied;
+        }
+        for (PeerClient client : peers.clients()) {
+            if (!readers.contains(client.instance()) && domainOf(client).equals(self.failureDomain())) {
+                supplied.add(client);
+            }
+        }
+        return supplied;
+    }
+
+    private void refresh() {
+        long nowNs = System.nanoTime();
+        if (nowNs - refreshedNs < REFRESH_INTERVAL_NS) {
+            return;
+        }
+        refreshedNs = nowNs;
+        List<ReaderChoice.Companion> connected = new ArrayList<>();
+        connected.add(new ReaderChoice.Companion(self.instance(), self.failureDomain(), 0));
+        for (PeerClient client : peers.clients()) {
+            PeerStatus status = client.status().orElse(null);
+            if (status != null && client.responsive(nowNs)) {
+                connected.add(new ReaderChoice.Companion(client.instance(), domainOf(client), status.storeAgeMs()));
+            }
+        }
+        connectedCount = connected.size();
+        readers = ReaderChoice.readers(connected);
+        hasSupplier = ReaderChoice.hasSupplier(self.instance(), connected, readers);
+    }
+
+    private String domainOf(PeerClient client) {
+        Member member = state.members().get(client.instance());
+        return member == null ? "" : member.failureDomain();
+    }
+}
--- a/router/src/main/java/org/siskintiller/router/peer/FleetIntervals.java
+++ b/router/src/main/java/org/siskintiller/router/peer/FleetIntervals.java
@@ -15,10 +15,8 @@
     private static final double UNRESPONSIVE_INTERVALS = 1.8;
     /** Status intervals without a frame after which a connection is closed. */
     private static final double SILENT_INTERVALS = 2.8;
-    /** Minimum time between two reads of a topic per companion in the fleet: each record completes the reads of all. */
+    /** Minimum time between two reads of a topic per companion that reads: a record completes the reads of all. */
     private static final long MIN_READ_INTERVAL_PER_COMPANION_US = 4_000;
-    /** The store accepts up to 30 s; the difference is a margin. */
-    private static final long MAX_READ_WAIT_MS = 25_000;
 
     private int companions = 1;
 
@@ -42,14 +40,9 @@
         return Math.round(statusIntervalNs() * SILENT_INTERVALS);
     }
 
-    /** Returns the time that a read of the store waits for a record, given the time in a small fleet. */
-    public long readWaitMs(long smallFleetWaitMs) {
-        return Math.min(MAX_READ_WAIT_MS, Math.round(smallFleetWaitMs * fleetFactor()));
-    }
-
-    /** Minimum time between the starts of two reads of a topic. */
-    public long minReadIntervalMs() {
-        return companions * MIN_READ_INTERVAL_PER_COMPANION_US / 1_000;
+    /** Minimum time between the starts of two reads of a topic by one of several companions that read it. */
+    public static long minReadIntervalMs(int readingCompanions) {
+        return readingCompanions * MIN_READ_INTERVAL_PER_COMPANION_US / 1_000;
     }
 
     private double fleetFactor() {
--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -63,6 +63,8 @@
     private boolean connected;
     private PeerStatus status;
     private BackendLoad load = BackendLoad.UNKNOWN;
+    private long knownEnd;
+    private long knownConfigVersion;
     private int sentSinceReport;
     private long lastReceivedNs;
     /** Time at which the status of the companion was requested; 0 while no response is pending. */
@@ -106,6 +108,22 @@
         return status != null && respondsInTime && nowNs - lastReceivedNs < intervals.unresponsiveAfterNs();
     }
 
+    /** Records what this companion knew when the last status arrived. */
+    public void recordKnown(long recordsEnd, long configVersion) {
+        knownEnd = recordsEnd;
+        knownConfigVersion = configVersion;
+    }
+
+    /** End of the records that this companion knew when the last status but one arrived. */
+    public long knownEnd() {
+        return knownEnd;
+    }
+
+    /** Version of the configuration that this companion knew when the last status but one arrived. */
+    public long knownConfigVersion() {
+        return knownConfigVersion;
+    }
+
     public BackendLoad load() {
         return load;
     }
--- a/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
+++ b/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
@@ -1,6 +1,7 @@
 package org.siskintiller.router.store;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
@@ -25,11 +26,17 @@
     /** A saturated link delays a response by seconds, and more reads delay it further. */
     private static final int MAX_STALE_READ_MS = 8_000;
 
+    /** Time in which a record that another companion knows is passed on. After it, a paused feed reads itself. */
+    private static final long MAX_PASS_ON_NS = TimeUnit.MILLISECONDS.toNanos(250);
+    /** A paused feed reads once in this time, in case that its suppliers know no newer records either. */
+    private static final long MAX_PAUSE_NS = TimeUnit.SECONDS.toNanos(20);
+
     private final RecordStore store;
     private final StoreTopic topic;
     private final EventLoop loop;
     private final LongSupplier readWaitMs;
     private final LongSupplier minReadIntervalMs;
+    private final BooleanSupplier supplied;
     private final FeedListener listener;
     private long nextOffset;
     private boolean hasPosition;
@@ -42,6 +49,9 @@
     /** Number of the latest read, which continues the feed. Earlier ones may still deliver records. */
     private int reads;
 
+    /** Whether no read is pending or planned, since others pass new records on. */
+    private boolean paused;
+
     private boolean readPending;
     private long readSentNs;
     /** Time from which another companion is known to have newer records; 0 while none is. */
@@ -54,6 +64,7 @@
      *
      * @param readWaitMs time that a read waits for a record; a stalled connection is detected only after it
      * @param minReadIntervalMs minimum time between the starts of two reads, so that one read returns several records
+     * @param supplied whether other companions pass new records on, so that this feed pauses
      */
     public TopicFeed(
             RecordStore store,
@@ -61,12 +72,14 @@
             EventLoop loop,
             LongSupplier readWaitMs,
             LongSupplier minReadIntervalMs,
+            BooleanSupplier supplied,
             FeedListener listener) {
         this.store = store;
         this.topic = topic;
         this.loop = loop;
         this.readWaitMs = readWaitMs;
         this.minReadIntervalMs = minReadIntervalMs;
+        this.supplied = supplied;
         this.listener = listener;
         this.lastContactNs = System.nanoTime() - TimeUnit.HOURS.toNanos(1);
     }
@@ -98,6 +111,10 @@
         if (behindSinceNs == 0) {
             behindSinceNs = nowNs;
         }
+        if (paused && nowNs - behindSinceNs >= MAX_PASS_ON_NS) {
+            read();
+            return;
+        }
         long staleNs = TimeUnit.MILLISECONDS.toNanos(staleRead.currentMs());
         if (readPending && nowNs - Math.max(behindSinceNs, readSentNs) >= staleNs) {
             staleRead.expired();
@@ -106,7 +123,27 @@
         }
     }
 
+    /** Records that other companions passed on are up to date again. */
+    public void recordsPassedOn() {
+        behindSinceNs = 0;
+    }
+
+    /** Reads again if the feed is paused and is not supplied any more, or has been paused for long. */
+    public void resumeIfNeeded() {
+        if (paused && (!supplied.getAsBoolean() || System.nanoTime() - readSentNs >= MAX_PAUSE_NS)) {
+            read();
+        }
+    }
+
+    /** Reads once if the feed is paused, to learn the present end of the topic. */
+    public void readOnce() {
+        if (paused) {
+            read();
+        }
+    }
+
     private void read() {
+        paused = false;
         int number = ++reads;
         long sentNs = System.nanoTime();
         readPending = true;
@@ -128,6 +165,10 @@
         }
         readPending = false;
         if (result instanceof StoreResult.Success<RecordBatch>) {
+            if (supplied.getAsBoolean()) {
+                paused = true;
+                return;
+            }
             long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNs);
             readAfter(minReadIntervalMs.getAsLong() - tookMs);
             return;
