Do not start requests that will end at their deadline

Cause: under load, a request was started while half of the mean service time of all kinds was left, calls of 15 ms included, and late requests were served shortly before their deadlines.

Change: RemainingTimeCheck keeps a mean for each kind and requires 1.5 times of it while others wait, 0.5 times otherwise. A late request waits for at most 60% of its remaining time and is then refused as not run, so that its caller can return.

--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -15,6 +15,7 @@
 import org.siskintiller.core.admission.AdmissionResult;
 import org.siskintiller.core.admission.ConcurrencyLimit;
 import org.siskintiller.core.admission.MovingMean;
+import org.siskintiller.core.admission.RemainingTimeCheck;
 import org.siskintiller.core.balance.BackendLoad;
 import org.siskintiller.core.path.BackendPresence;
 import org.siskintiller.core.path.BackendPresence.Announcement;
@@ -43,7 +44,7 @@
     private static final long RESPONSE_MARGIN_NS = 150_000_000L;
     /** Retry-After of refusals for which there is no estimate. */
     private static final long DEFAULT_RETRY_AFTER_MS = 250;
-    /** A request is not started when less than this share of the mean service time remains until its deadline. */
+    /** A request does not wait for a grant when less than this share of the mean service time remains. */
     private static final double MIN_SERVICE_TIME_SHARE = 0.5;
 
     private static final int FIRST_SERVER_ERROR = 500;
@@ -60,6 +61,7 @@
     private final Set<GateCall> queuedCalls = new LinkedHashSet<>();
     private final Set<GateCall> runningCalls = new LinkedHashSet<>();
     private final Set<String> runningIds = new HashSet<>();
+    private final RemainingTimeCheck remainingTime = new RemainingTimeCheck();
     private final MovingMean meanServiceNs = new MovingMean(0);
     private final Timer waitTimer;
     private final Timer serviceTimer;
@@ -234,6 +236,7 @@
         boolean success = call.status() < FIRST_SERVER_ERROR;
         if (success) {
             meanServiceNs.add(serviceTimeNs);
+            remainingTime.served(kind(call), serviceTimeNs);
         }
         serviceTimer.update(serviceTimeNs, TimeUnit.NANOSECONDS);
         crashes.responseReceived(call.request().fingerprint(), nowNs);
@@ -294,11 +297,22 @@
             refuse(call, RefusalReason.OVERLOADED, retryAfterMs(result));
             return;
         }
-        admit(withLatePlace(call), nowNs);
+        admit(withLatePlace(call, nowNs), nowNs);
     }
 
-    private GateCall withLatePlace(GateCall call) {
-        return call.moveTo(QueuePlace.late(call.request()), sequence++);
+    private GateCall withLatePlace(GateCall call, long nowNs) {
+        return call.moveTo(QueuePlace.late(call.request(), nowNs), sequence++);
+    }
+
+    private boolean hasTimeLeft(GateCall call, boolean othersWait, long nowNs) {
+        return remainingTime.suffices(kind(call), call.request().deadlineNs() - nowNs, othersWait);
+    }
+
+    /** Kind of a request by its service time: calls of running requests, and requests by their priority. */
+    private static String kind(GateCall call) {
+        return call.request().internal()
+                ? GateSettings.INTERNAL
+                : GateSettings.rank(call.request().priority());
     }
 
     private void evict(GateCall evicted) {
@@ -347,7 +361,7 @@
             }
             queuedCalls.remove(call);
             RefusalReason reason = refusalReason(call.request(), true, nowNs);
-            if (reason == null && call.request().deadlineNs() - nowNs < minServiceNs()) {
+            if (reason == null && !hasTimeLeft(call, admission.queued() > 0, nowNs)) {
                 reason = RefusalReason.EXPIRED;
             }
             if (reason != null) {
@@ -470,15 +484,20 @@
     }
 
     private void checkQueued(GateCall call, long nowNs) {
-        boolean expired = call.request().deadlineNs() - nowNs < minServiceNs();
+        boolean expired = !hasTimeLeft(call, queuedCalls.size() > 1, nowNs);
         if (expired || !presence.accepts(nowNs)) {
             dequeue(call);
             refuse(call, expired ? RefusalReason.EXPIRED : RefusalReason.LEAVING, DEFAULT_RETRY_AFTER_MS);
             return;
         }
-        if (nowNs > call.deadlineNs()) {
-            dequeue(call);
-            admit(withLatePlace(call), nowNs);
+        if (nowNs <= call.deadlineNs()) {
+            return;
+        }
+        dequeue(call);
+        if (call.rank().equals(GateSettings.LATE)) {
+            refuse(call, RefusalReason.OVERLOADED, DEFAULT_RETRY_AFTER_MS);
+        } else {
+            admit(withLatePlace(call, nowNs), nowNs);
         }
     }
 }
--- a/router/src/test/java/org/siskintiller/router/backend/GateCallTest.java
+++ b/router/src/test/java/org/siskintiller/router/backend/GateCallTest.java
@@ -17,14 +17,14 @@
             call.markQueued();
             call.markConnecting("backend");
 
-            assertThrows(IllegalStateException.class, () -> call.moveTo(QueuePlace.late(call.request()), 1));
+            assertThrows(IllegalStateException.class, () -> call.moveTo(QueuePlace.late(call.request(), 0), 1));
         }
 
         /** Guards against a second run of a request that is sent from the place that it has left. */
         @Test
         void preventsASendFromTheOldPlace() {
             call.markQueued();
-            GateCall late = call.moveTo(QueuePlace.late(call.request()), 1);
+            GateCall late = call.moveTo(QueuePlace.late(call.request(), 0), 1);
 
             assertThrows(IllegalStateException.class, () -> call.markConnecting("backend"));
             late.markConnecting("backend");
--- a/router/src/test/java/org/siskintiller/router/backend/QueuePlaceTest.java
+++ b/router/src/test/java/org/siskintiller/router/backend/QueuePlaceTest.java
@@ -23,6 +23,21 @@
                     .isEqualTo(GateSettings.LATE);
         }
 
+        /**
+         * Load pattern: more late requests than slots. Guards against a late request that waits until its caller has no
+         * time left to return.
+         */
+        @Test
+        void limitsTheWaitOfALateRequest() {
+            long nowNs = Calls.OBJECTIVE_NS;
+            long remainingNs = Calls.DEADLINE_NS - nowNs;
+
+            QueuePlace place = QueuePlace.of(Calls.request(1), nowNs);
+
+            assertThat(place.deadlineNs()).isGreaterThan(nowNs + remainingNs / 2);
+            assertThat(place.deadlineNs()).isAtMost(Calls.DEADLINE_NS - remainingNs / 3);
+        }
+
         @Test
         void ordersTheOthersByPriorityAndObjective() {
             assertThat(QueuePlace.of(Calls.request(1), 0))
