Keep retries for the calls of running requests

Requests, whose callers can return, took the retry budget from the calls of running requests, whose failure wastes the work done.

Change: the lower half of the saved budget is kept for such calls.

Result: SharedRetryBudgetTest replays the load; before, requests took as many retries as calls.

--- a/core/src/main/java/org/siskintiller/core/retry/SharedRetryBudget.java
+++ b/core/src/main/java/org/siskintiller/core/retry/SharedRetryBudget.java
@@ -12,6 +12,9 @@
      */
     private static final double TOKEN_SHARE = 0.35;
 
+    /** Share of the saved tokens that only calls of running requests may take. */
+    private static final double INTERNAL_SHARE = 0.5;
+
     private final double ratio;
     private final double slack;
     private final long windowNs;
@@ -40,10 +43,19 @@
         tokens = Math.min(maxTokens(), tokens + TOKEN_SHARE * ratio);
     }
 
-    /** Takes one retry from the budget. Returns false if none is left. */
-    public boolean tryTake(long nowNs) {
+    /**
+     * Takes one retry from the budget. Returns false if none is left.
+     *
+     * <p>Load pattern: most backend servers of a service reject half of their arrivals. A refused caller can return by
+     * itself. A call of a running request cannot: its failure wastes the work of that request, so a part of the budget is
+     * kept for calls.
+     *
+     * @param internal whether the retry is for a call of a running request
+     */
+    public boolean tryTake(boolean internal, long nowNs) {
         update(nowNs);
-        if (tokens < 1) {
+        double kept = internal ? 0 : INTERNAL_SHARE * maxTokens();
+        if (tokens - kept < 1) {
             return false;
         }
         tokens--;
--- a/core/src/test/java/org/siskintiller/core/retry/SharedRetryBudgetTest.java
+++ b/core/src/test/java/org/siskintiller/core/retry/SharedRetryBudgetTest.java
@@ -24,7 +24,7 @@
                 for (int i = 0; i < requestsPerSecond; i++) {
                     long nowNs = second * SECOND_NS + i * SECOND_NS / requestsPerSecond;
                     budget.requested(nowNs);
-                    taken[second] += budget.tryTake(nowNs) ? 1 : 0;
+                    taken[second] += budget.tryTake(true, nowNs) ? 1 : 0;
                 }
             }
 
@@ -46,7 +46,7 @@
             budget.requested(0);
             int taken = 0;
             for (int i = 0; i < 100; i++) {
-                taken += budget.tryTake(1_000 * SECOND_NS) ? 1 : 0;
+                taken += budget.tryTake(true, 1_000 * SECOND_NS) ? 1 : 0;
             }
 
             assertThat((double) taken).isAtMost(SLACK / 10);
@@ -61,7 +61,29 @@
             SharedRetryBudget budget = new SharedRetryBudget(RATIO, SLACK, 10_000);
             budget.requested(0);
 
-            assertThat(budget.tryTake(0)).isTrue();
+            assertThat(budget.tryTake(true, 0)).isTrue();
+        }
+    }
+
+    @Nested
+    class InternalCalls {
+        /**
+         * Load pattern: the backend servers reject half of their arrivals, requests and calls in turn. Guards against
+         * calls that fail because requests, whose callers can return, have taken all retries.
+         */
+        @Test
+        void keepRetriesWhileRequestsFindNone() {
+            SharedRetryBudget budget = new SharedRetryBudget(0.2, 200, 10_000);
+            int calls = 0;
+            int requests = 0;
+            for (int i = 0; i < 400; i++) {
+                long nowNs = i * 1_000_000L;
+                requests += budget.tryTake(false, nowNs) ? 1 : 0;
+                calls += budget.tryTake(true, nowNs) ? 1 : 0;
+            }
+
+            assertThat(requests).isGreaterThan(0);
+            assertThat(calls).isAtLeast(2 * requests);
         }
     }
 }
--- a/router/src/main/java/org/siskintiller/router/request/RequestTask.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTask.java
@@ -228,7 +228,7 @@
     }
 
     private boolean takeFromRetryBudget() {
-        boolean taken = router.retryBudget(request.service()).tryTake(System.nanoTime());
+        boolean taken = router.retryBudget(request.service()).tryTake(request.internal(), System.nanoTime());
         if (!taken) {
             lastCause += "; the retry budget is used up";
         }
