Read the store less often while a fleet registers

Cause: at the start of a fleet no companion is supplied yet, and each registration completed the reads of all, every 4 ms times their number.

Change: the interval grows by 12 ms for each member that is not connected. FleetIntervalsTest bounds the reads of 300 companions at 100 a second instead of 250.

--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -123,7 +123,7 @@
                 StoreTopic.CONTROL,
                 loop,
                 this::readWaitMs,
-                () -> FleetIntervals.minReadIntervalMs(supply.readingCompanions()),
+                supply::minReadIntervalMs,
                 supply::isSupplied,
                 new StoreRecords());
     }
--- a/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
+++ b/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.siskintiller.core.supply.ReaderChoice;
+import org.siskintiller.router.peer.FleetIntervals;
 import org.siskintiller.router.peer.PeerClient;
 import org.siskintiller.router.peer.PeerStatus;
 import org.siskintiller.router.store.StoredRecord;
@@ -44,10 +45,11 @@
         return !alwaysReads && !readers.contains(self.instance()) && hasSupplier;
     }
 
-    /** Number of companions that may read at the same time. */
-    public int readingCompanions() {
+    /** Minimum time between the starts of two reads of a topic. */
+    public long minReadIntervalMs() {
         refresh();
-        return Math.max(0, state.members().size() - connectedCount) + readers.size();
+        int notConnected = Math.max(0, state.members().size() - connectedCount);
+        return FleetIntervals.minReadIntervalMs(readers.size(), notConnected);
     }
 
     /** Passes records of the store on to the companions that this one supplies. */
--- a/router/src/main/java/org/siskintiller/router/peer/FleetIntervals.java
+++ b/router/src/main/java/org/siskintiller/router/peer/FleetIntervals.java
@@ -16,7 +16,9 @@
     /** Status intervals without a frame after which a connection is closed. */
     private static final double SILENT_INTERVALS = 2.8;
     /** Minimum time between two reads of a topic per companion that reads: a record completes the reads of all. */
-    private static final long MIN_READ_INTERVAL_PER_COMPANION_US = 4_000;
+    private static final long MIN_READ_INTERVAL_PER_READER_MS = 4;
+    /** As above per companion that may read, since no supplier is connected. */
+    private static final long MIN_READ_INTERVAL_PER_UNCONNECTED_MS = 12;
 
     private int companions = 1;
 
@@ -40,9 +42,14 @@
         return Math.round(statusIntervalNs() * SILENT_INTERVALS);
     }
 
-    /** Minimum time between the starts of two reads of a topic by one of several companions that read it. */
-    public static long minReadIntervalMs(int readingCompanions) {
-        return readingCompanions * MIN_READ_INTERVAL_PER_COMPANION_US / 1_000;
+    /**
+     * Minimum time between the starts of two reads of a topic by one of several companions that read it.
+     *
+     * @param notConnected companions that this one is not connected to: after a start of the whole fleet all of them
+     *     register at the same time, and each registration would complete the reads of all
+     */
+    public static long minReadIntervalMs(int readers, int notConnected) {
+        return readers * MIN_READ_INTERVAL_PER_READER_MS + notConnected * MIN_READ_INTERVAL_PER_UNCONNECTED_MS;
     }
 
     private double fleetFactor() {
--- a/router/src/test/java/org/siskintiller/router/peer/FleetIntervalsTest.java
+++ b/router/src/test/java/org/siskintiller/router/peer/FleetIntervalsTest.java
@@ -22,7 +22,7 @@
             assertThat(intervals.isSmallFleet()).isTrue();
             assertThat(intervals.statusIntervalNs()).isEqualTo(SECOND_NS / 2);
             assertThat(intervals.unresponsiveAfterNs()).isLessThan(SECOND_NS);
-            assertThat(FleetIntervals.minReadIntervalMs(5)).isAtMost(20);
+            assertThat(FleetIntervals.minReadIntervalMs(5, 0)).isAtMost(20);
         }
     }
 
@@ -42,9 +42,9 @@
         /** Guards against reads beyond the rate of the store while all companions read, as at the start. */
         @Test
         void limitsTheReadsOfCompanionsThatAllRead() {
-            double readsPerS = 300 * 1_000.0 / FleetIntervals.minReadIntervalMs(300);
+            double readsPerS = 300 * 1_000.0 / FleetIntervals.minReadIntervalMs(1, 299);
 
-            assertThat(readsPerS).isAtMost(250.0);
+            assertThat(readsPerS).isAtMost(100.0);
         }
 
         /** Guards against a live companion that counts as unresponsive between two status frames. */
