Deliver responses after a pause of the other companion

Cause: a companion from which nothing arrived for 1.4 s lost its connection and with it every request on it. A machine that was only paused had its running requests answered 502, and their responses were discarded when it went on.

Change: a silent connection on which requests run that must not run twice stays open for them until their deadlines, while a new one is established for everything else. Requests that may be repeated fail as before and are sent elsewhere.

--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -1,10 +1,13 @@
 package org.siskintiller.router.peer;
 
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.Channel;
@@ -39,6 +42,13 @@
  * closed, because a link can fail without a reset.
  */
 public final class PeerClient implements Destination {
+    /** Frames that belong to a request. Others count only on the current connection. */
+    private static final Set<Frame.KindCase> RESPONSE_KINDS = EnumSet.of(
+            Frame.KindCase.RESPONSE_START,
+            Frame.KindCase.RESPONSE_DATA,
+            Frame.KindCase.REFUSAL,
+            Frame.KindCase.FAILURE);
+
     private static final int MIN_CONNECT_TIMEOUT_MS = 700;
     /** A saturated link delays a connection by seconds. After an outage, TCP repeats the first packet every 2 s at most. */
     private static final int MAX_CONNECT_TIMEOUT_MS = 2_800;
@@ -178,8 +188,29 @@
         boolean hasTimedOut = statusRequestedNs != 0 && nowNs - statusRequestedNs > CLOSE_AFTER_NS;
         if (connected && (hasTimedOut || nowNs - lastReceivedNs > intervals.silentAfterNs())) {
             EventLog.log(LogEvent.PEER_CONNECT_FAILED, "peer", instance, "cause", "no frame received in time");
+            detachOrClose(nowNs);
+        }
+    }
+
+    /**
+     * Replaces a silent connection. The companion may only have paused: requests that must not run twice keep the old
+     * connection until their deadline, so that their responses still arrive.
+     */
+    private void detachOrClose(long nowNs) {
+        long lastDeadlineNs = nowNs;
+        for (Stream stream : streams.values()) {
+            if (!stream.repeatable) {
+                lastDeadlineNs = Math.max(lastDeadlineNs, stream.deadlineNs);
+            }
+        }
+        if (lastDeadlineNs == nowNs) {
             closeChannel();
+            return;
         }
+        Channel silent = channel;
+        channel = null;
+        loop.schedule(() -> silent.close(), lastDeadlineNs - nowNs, TimeUnit.NANOSECONDS);
+        connectionLost(stream -> stream.repeatable);
     }
 
     public void sendRenewal(HolderReport report, long term, int sequence) {
@@ -210,14 +241,14 @@
     public SentRequest send(ForwardedRequest request, ResponseListener listener) {
         if (!connected) {
             listener.refused(new Refusal(RefusalReason.UNREACHABLE, 0, false));
-            return new Stream(0, listener);
+            return new Stream(0, request, listener);
         }
         long nowNs = System.nanoTime();
         if (statusRequestedNs == 0 && nowNs - lastReceivedNs > REQUEST_STATUS_AFTER_NS) {
             statusRequestedNs = nowNs;
             write(hello());
         }
-        Stream stream = new Stream(++lastStreamId, listener);
+        Stream stream = new Stream(++lastStreamId, request, listener);
         streams.put(stream.id, stream);
         write(Frames.request(stream.id, request, nowNs));
         return stream;
@@ -247,8 +278,6 @@
     }
 
     private void received(Frame frame) {
-        lastReceivedNs = System.nanoTime();
-        statusRequestedNs = 0;
         switch (frame.getKindCase()) {
             case STATUS -> status(frame.getStatus());
             case RESPONSE_START -> {
@@ -322,21 +351,31 @@
         stream.listener.data(frame.getData().toByteArray(), frame.getLast());
     }
 
-    private void connectionLost() {
+    /** Handles the loss of the current connection. Fails the streams for which it ends the request. */
+    private void connectionLost(Predicate<Stream> isEnded) {
         boolean wasReady = status != null;
         connected = false;
         status = null;
         sentSinceReport = 0;
-        List<Stream> open = List.copyOf(streams.values());
-        streams.clear();
+        List<Stream> ended = removeStreams(isEnded);
         if (wasReady) {
-            EventLog.log(LogEvent.PEER_CONNECT_FAILED, "peer", instance, "cause", "lost", "streams", open.size());
+            EventLog.log(LogEvent.PEER_CONNECT_FAILED, "peer", instance, "cause", "lost", "streams", ended.size());
             events.connectionChanged(instance, false);
         }
-        for (Stream stream : open) {
+        fail(ended);
+        reconnectLater();
+    }
+
+    private List<Stream> removeStreams(Predicate<Stream> condition) {
+        List<Stream> removed = streams.values().stream().filter(condition).toList();
+        removed.forEach(stream -> streams.remove(stream.id));
+        return removed;
+    }
+
+    private void fail(List<Stream> ended) {
+        for (Stream stream : ended) {
             stream.listener.failed(new SendFailure("the connection to " + instance + " was lost", false));
         }
-        reconnectLater();
     }
 
     private final class FrameReader extends SimpleChannelInboundHandler<Frame> {
@@ -350,12 +389,23 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, Frame frame) {
-            received(frame);
+            if (context.channel() == channel) {
+                lastReceivedNs = System.nanoTime();
+                statusRequestedNs = 0;
+                received(frame);
+            } else if (RESPONSE_KINDS.contains(frame.getKindCase())) {
+                received(frame);
+            }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            connectionLost();
+            Channel lost = context.channel();
+            if (lost == channel) {
+                connectionLost(stream -> stream.via == lost);
+            } else {
+                fail(removeStreams(stream -> stream.via == lost));
+            }
         }
 
         @Override
@@ -367,24 +417,30 @@
 
     private final class Stream implements SentRequest {
         private final int id;
+        private final boolean repeatable;
+        private final long deadlineNs;
         private final ResponseListener listener;
+        /** Connection on which the request was sent. */
+        private final Channel via = channel;
 
-        private Stream(int id, ResponseListener listener) {
+        private Stream(int id, ForwardedRequest request, ResponseListener listener) {
             this.id = id;
+            this.repeatable = request.kind().repeatable();
+            this.deadlineNs = request.deadlineNs();
             this.listener = listener;
         }
 
         @Override
         public void cancel() {
             if (streams.remove(id) != null) {
-                write(Frames.cancel(id));
+                via.writeAndFlush(Frames.cancel(id));
             }
         }
 
         @Override
         public void credit(int bytes) {
             if (streams.containsKey(id) && bytes > 0) {
-                write(Frames.credit(id, bytes));
+                via.writeAndFlush(Frames.credit(id, bytes));
             }
         }
     }
