--- a/core/src/main/java/org/siskintiller/core/lease/KeyOrders.java
+++ b/core/src/main/java/org/siskintiller/core/lease/KeyOrders.java
@@ -118,15 +118,6 @@
         close(order, nowNs + RETRY_DELAY_NS);
     }
 
-    /** Lets a grant be renewed at once, because the backend server turned out not to hold a key of it. */
-    public void notHeld(int key, long nowNs) {
-        states.forEach((order, state) -> {
-            if (order.range().contains(key)) {
-                state.nextNs = Math.min(state.nextNs, nowNs);
-            }
-        });
-    }
-
     private OrderState close(KeyOrder order, long nextNs) {
         OrderState state = states.get(order);
         if (state == null || !state.open) {
--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -236,7 +236,7 @@
         boolean success = call.status() < FIRST_SERVER_ERROR;
         if (success) {
             meanServiceNs.add(serviceTimeNs);
-            remainingTime.served(kind(call), serviceTimeNs);
+            remainingTime.served(GateSettings.kind(call.request()), serviceTimeNs);
         }
         serviceTimer.update(serviceTimeNs, TimeUnit.NANOSECONDS);
         crashes.responseReceived(call.request().fingerprint(), nowNs);
@@ -305,14 +305,8 @@
     }
 
     private boolean hasTimeLeft(GateCall call, boolean othersWait, long nowNs) {
-        return remainingTime.suffices(kind(call), call.request().deadlineNs() - nowNs, othersWait);
-    }
-
-    /** Kind of a request by its service time: calls of running requests, and requests by their priority. */
-    private static String kind(GateCall call) {
-        return call.request().internal()
-                ? GateSettings.INTERNAL
-                : GateSettings.rank(call.request().priority());
+        return remainingTime.suffices(
+                GateSettings.kind(call.request()), call.request().deadlineNs() - nowNs, othersWait);
     }
 
     private void evict(GateCall evicted) {
--- a/router/src/main/java/org/siskintiller/router/backend/GateSettings.java
+++ b/router/src/main/java/org/siskintiller/router/backend/GateSettings.java
@@ -6,6 +6,7 @@
 
 import org.siskintiller.core.admission.AdmissionSettings;
 import org.siskintiller.core.admission.RankSettings;
+import org.siskintiller.router.request.ForwardedRequest;
 
 /** Ranks of the queue in front of a backend server. */
 final class GateSettings {
@@ -32,6 +33,11 @@
         return new AdmissionSettings(ranks, Map.of(), LATE);
     }
 
+    /** Kind of a request by its service time: calls of running requests, and requests by their priority. */
+    static String kind(ForwardedRequest request) {
+        return request.internal() ? INTERNAL : rank(request.priority());
+    }
+
     static String rank(int priority) {
         return "priority-" + Math.max(0, Math.min(PRIORITIES - 1, priority));
     }
