Cancel what a silent companion has not started

Cause: a silent connection now stays open for requests that must not run twice. Requests that may be repeated and are still unread on it are sent elsewhere, and the paused companion might run them as well.

Change: they are cancelled on the old connection.

Result: PlatformClusterTest passes (13 tests). A check that none of them runs after the pause also passed without the cancellation, since the time of a stall counts against their deadline; it was not kept, so this change has no test of its own.

--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -209,6 +209,11 @@
         }
         Channel silent = channel;
         channel = null;
+        // The companion may go on with what it has not started yet, so it is told what is sent elsewhere.
+        streams.values().stream()
+                .filter(stream -> stream.repeatable && stream.via == silent)
+                .forEach(stream -> silent.write(Frames.cancel(stream.id)));
+        silent.flush();
         loop.schedule(() -> silent.close(), lastDeadlineNs - nowNs, TimeUnit.NANOSECONDS);
         connectionLost(stream -> stream.repeatable);
     }
