--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -102,7 +102,7 @@
         PeerDirectory peers = new PeerDirectory(
                 settings.instance(), settings.failureDomain(), settings.service(), loop, state, gate, intervals);
         this.router = new RequestRouter(loop, lag, names, settings.router(), peers, gate::runs, metrics);
-        StoreSupply supply = new StoreSupply(self, state, peers);
+        StoreSupply supply = new StoreSupply(self, state, peers, metrics);
         this.config = new ConfigFeed(store, loop, supply, configDecoder, router, metrics);
         this.control = new ControlDriver(
                 new ControlSettings(self, new Incarnation(new SecureRandom().nextLong())),
--- a/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
+++ b/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
@@ -54,7 +54,7 @@
     public void record(StoredRecord record) {
         if (record.key().equals(decoder.key()) && record.value().length > 0) {
             if (apply(record.value(), "store")) {
-                supply.passOn(record.value());
+                supply.passOn(record.value(), version());
             }
         }
     }
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -309,7 +309,7 @@
                 client.shareRecords(state.records());
             }
             if (status.configVersion() < client.knownConfigVersion()) {
-                client.shareConfig(config.content());
+                client.shareConfig(config.content(), () -> {});
             }
         }
         client.recordKnown(state.end(), config.version());
--- a/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
+++ b/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
@@ -5,7 +5,11 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import org.siskintiller.core.supply.ReaderChoice;
+import org.siskintiller.node.EventLog;
+import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.peer.FleetIntervals;
 import org.siskintiller.router.peer.PeerClient;
 import org.siskintiller.router.peer.PeerStatus;
@@ -22,16 +26,19 @@
     private final Member self;
     private final ControlState state;
     private final PeerDirectory peers;
+    private final Counter sentConfigBytes;
     private Set<String> readers = Set.of();
     private boolean hasSupplier;
     private int connectedCount = 1;
     private long refreshedNs = Long.MIN_VALUE / 2;
     private boolean alwaysReads;
 
-    public StoreSupply(Member self, ControlState state, PeerDirectory peers) {
+    public StoreSupply(Member self, ControlState state, PeerDirectory peers, MetricRegistry metrics) {
         this.self = self;
         this.state = state;
         this.peers = peers;
+        this.sentConfigBytes = metrics.counter("config.sent_bytes");
+        metrics.gauge("peers.connected", () -> this::connectedPeers);
     }
 
     /** Sets whether this companion reads in any case, because it must know the present state of the store. */
@@ -60,8 +67,32 @@
     }
 
     /** Passes a configuration of the store on to the companions that this one supplies. */
-    void passOn(byte[] config) {
-        suppliedClients().forEach(client -> client.shareConfig(config));
+    void passOn(byte[] config, long version) {
+        long startNs = System.nanoTime();
+        List<PeerClient> recipients = suppliedClients();
+        int[] unwritten = {recipients.size()};
+        for (PeerClient client : recipients) {
+            sentConfigBytes.inc(config.length);
+            client.shareConfig(config, () -> {
+                if (--unwritten[0] == 0) {
+                    logPassedOn(version, recipients.size(), config.length, startNs);
+                }
+            });
+        }
+    }
+
+    /** Logs how long it took until the sockets had accepted all copies. */
+    private static void logPassedOn(long version, int recipients, int bytes, long startNs) {
+        EventLog.log(
+                LogEvent.CONFIG_PASSED_ON,
+                "version",
+                version,
+                "recipients",
+                recipients,
+                "bytes_each",
+                bytes,
+                "write_ms",
+                TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs));
     }
 
     private List<PeerClient> suppliedClients() {
@@ -97,6 +128,12 @@
         hasSupplier = ReaderChoice.hasSupplier(self.instance(), connected, readers);
     }
 
+    private long connectedPeers() {
+        return peers.clients().stream()
+                .filter(client -> client.status().isPresent())
+                .count();
+    }
+
     private String domainOf(PeerClient client) {
         Member member = state.members().get(client.instance());
         return member == null ? "" : member.failureDomain();
--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -222,10 +222,20 @@
         write(Frames.renewal(report, term, sequence));
     }
 
-    public void shareConfig(byte[] content) {
-        write(Frame.newBuilder()
+    /**
+     * Sends a configuration.
+     *
+     * @param written runs when the socket has accepted the configuration or the connection is lost
+     */
+    public void shareConfig(byte[] content, Runnable written) {
+        if (!connected) {
+            written.run();
+            return;
+        }
+        Frame frame = Frame.newBuilder()
                 .setSharedConfig(CompanionProto.SharedConfig.newBuilder().setContent(ByteString.copyFrom(content)))
-                .build());
+                .build();
+        channel.writeAndFlush(frame).addListener(done -> written.run());
     }
 
     public void shareRecords(List<StoredRecord> records) {
