Send configurations between companions as compressed differences, through relays

Callers got 404 for routes that had been acknowledged, and requests beside them were late. Cause: the reader of a failure domain wrote the whole configuration (250 KB with 1,480 more routes) to each of some 20 companions, 5.5 MB over a link of 10 Mbit/s, longer than the 2.5 s that operators allow and again with each version. Class of fault: work of one machine that grows with the number of recipients and the size of the content.

Readers announce a version to all companions with their status. A companion that knows of a newer version and has not received it after a time that grows with its size asks one that has it, and half a second later another one and the store (Patience). The push to neighbours that lag is gone, since they ask. Only the newest configuration of a read is decoded, and none that is not newer. A request without a route gets 503 with Retry-After while a newer version is known to exist. Companions of earlier builds ignore the new frames and read the store.

--- a/core/src/main/java/org/siskintiller/core/supply/ReaderChoice.java
+++ b/core/src/main/java/org/siskintiller/core/supply/ReaderChoice.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -26,7 +27,7 @@
 
     private ReaderChoice() {}
 
-    /** Returns the readers among the companions that are connected, including this one. */
+    /** Returns the readers among the companions that are connected, including this one, in a fixed order. */
     public static Set<String> readers(Collection<Companion> connected) {
         List<Companion> order = new ArrayList<>(connected);
         order.sort(Comparator.comparingInt((Companion companion) -> spread(companion.instance()))
@@ -47,6 +48,18 @@
         return readers;
     }
 
+    /** Returns the reader that passes large contents on in the domain of the companion: one copy is enough. */
+    public static Optional<String> distributor(
+            String failureDomain, Collection<Companion> connected, Set<String> readers) {
+        Set<String> inDomain = new HashSet<>();
+        for (Companion companion : connected) {
+            if (companion.failureDomain().equals(failureDomain)) {
+                inDomain.add(companion.instance());
+            }
+        }
+        return readers.stream().filter(inDomain::contains).findFirst();
+    }
+
     /** Whether one of the readers other than this companion has reached the store recently. */
     public static boolean hasSupplier(String self, Collection<Companion> connected, Set<String> readers) {
         for (Companion companion : connected) {
--- a/core/src/test/java/org/siskintiller/core/supply/ReaderChoiceTest.java
+++ b/core/src/test/java/org/siskintiller/core/supply/ReaderChoiceTest.java
@@ -54,6 +54,25 @@
         }
     }
 
+    @Nested
+    class Distributor {
+        /** Guards against several readers that send a large content to the same companions, and against none. */
+        @Test
+        void isOneReaderOfTheDomain() {
+            for (int domains = 1; domains <= 6; domains++) {
+                List<Companion> fleet = fleet(30, domains);
+                Set<String> readers = ReaderChoice.readers(fleet);
+                for (Companion companion : fleet) {
+                    String distributor = ReaderChoice.distributor(companion.failureDomain(), fleet, readers)
+                            .orElseThrow();
+
+                    assertThat(readers).contains(distributor);
+                    assertThat(fleet).contains(new Companion(distributor, companion.failureDomain(), 500));
+                }
+            }
+        }
+    }
+
     @Nested
     class Supply {
         /** Guards against a companion that waits for readers that the store turns away. */
--- a/node/src/main/java/org/siskintiller/node/LogEvent.java
+++ b/node/src/main/java/org/siskintiller/node/LogEvent.java
@@ -53,6 +53,11 @@
     CONFIG_IN_FORCE(1216, Level.INFO, "configuration in force", "none"),
     CONTROL_FAILED(1217, Level.ERROR, "control plane failed; the process exits", "report the stack trace"),
     CONFIG_PASSED_ON(1218, Level.INFO, "configuration written to other companions", "none"),
+    CONFIG_REQUESTED(
+            1219,
+            Level.INFO,
+            "a newer configuration has not arrived in time and is requested",
+            "check the machines that read the store for their domain"),
 
     PEER_CONNECTED(1301, Level.INFO, "connected to a companion", "none"),
     PEER_CONNECT_FAILED(1302, Level.INFO, "cannot connect to a companion", "check the peer address and the network"),
--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -103,7 +103,8 @@
                 settings.instance(), settings.failureDomain(), settings.service(), loop, state, gate, intervals);
         this.router = new RequestRouter(loop, lag, names, settings.router(), peers, gate::runs, metrics);
         StoreSupply supply = new StoreSupply(self, state, peers, metrics);
-        this.config = new ConfigFeed(store, loop, supply, configDecoder, router, metrics);
+        this.config = new ConfigFeed(store, loop, supply, peers, configDecoder, router, metrics);
+        router.setConfigDelay(config::behindMs);
         this.control = new ControlDriver(
                 new ControlSettings(self, new Incarnation(new SecureRandom().nextLong())),
                 store,
@@ -132,13 +133,11 @@
         callerServer.bind(settings.callers());
         readinessServer.bind(settings.readiness());
         heartbeatServer.bind(settings.heartbeats());
+        loop.execute(() -> control.start(router, config, peerServer::publishStatus));
         peerServer.bind(settings.companions());
         metricsServer.bind(settings.metrics());
         lag.start();
-        loop.execute(() -> {
-            config.start();
-            control.start(router, config, peerServer::publishStatus);
-        });
+
         EventLog.log(
                 LogEvent.STARTED,
                 "instance",
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -24,6 +24,7 @@
 import org.siskintiller.router.backend.BackendGate;
 import org.siskintiller.router.backend.CrashDetector;
 import org.siskintiller.router.backend.KeyReports;
+import org.siskintiller.router.peer.ConfigUpdate;
 import org.siskintiller.router.peer.FleetIntervals;
 import org.siskintiller.router.peer.LeaseReply;
 import org.siskintiller.router.peer.PeerClient;
@@ -47,7 +48,7 @@
     private static final int MAX_REPORTED_BUCKETS = 96;
     /** Minimum load of a reported bucket, as a share of the backend server's capacity: less does not justify a move. */
     private static final double MIN_REPORTED_SHARE = 0.01;
-    /** A companion whose last contact with the store is older receives records and configuration from this one. */
+    /** A companion whose last contact with the store is older receives records from this one. */
     private static final long STALE_STORE_CONTACT_MS = 1_000;
     /** A larger change between the monotonic clock and the time of day means that the machine paused. */
     private static final long CLOCK_JUMP_MS = 400;
@@ -128,6 +129,7 @@
                 new StoreRecords());
     }
 
+    /** Starts to follow the store. Runs before the first companion connects. */
     public void start(RequestRouter newRouter, ConfigFeed newConfig, Runnable newStatusPublisher) {
         router = newRouter;
         config = newConfig;
@@ -136,6 +138,7 @@
         clockOffsetMs = clockOffsetNowMs();
         crashes.onSuspicion(this::shareSuspicions);
         gate.onStateChange(this::publishStatus);
+        config.start(this::publishStatus);
         feed.start();
         loop.scheduleWithFixedDelay(this::tick, TICK_INTERVAL_MS, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
@@ -265,7 +268,8 @@
                 config.version(),
                 state.end(),
                 isAuthorityResponsive(nowNs),
-                (nowNs - feed.lastContactNs()) / 1_000_000);
+                (nowNs - feed.lastContactNs()) / 1_000_000,
+                config.updateBytes());
     }
 
     @Override
@@ -297,9 +301,7 @@
             lastAuthorityMessageNs = System.nanoTime();
             authorityStoreAgeNs = status.storeAgeMs() * 1_000_000;
         }
-        if (status.configVersion() > config.version()) {
-            config.newerVersionExists();
-        }
+        config.statusReceived(client.instance(), status);
         if (status.recordsEnd() > state.end()) {
             feed.newerRecordsExist();
         }
@@ -308,11 +310,8 @@
             if (status.recordsEnd() < client.knownEnd()) {
                 client.shareRecords(state.records());
             }
-            if (status.configVersion() < client.knownConfigVersion()) {
-                client.shareConfig(config.content(), () -> {});
-            }
         }
-        client.recordKnown(state.end(), config.version());
+        client.recordKnown(state.end());
     }
 
     @Override
@@ -321,8 +320,13 @@
     }
 
     @Override
-    public void configReceived(byte[] content) {
-        config.received(content, "companion");
+    public void configReceived(ConfigUpdate update, List<String> relayTo, String from) {
+        config.received(update, relayTo, from);
+    }
+
+    @Override
+    public Optional<ConfigUpdate> configRequested(long version) {
+        return config.requested(version);
     }
 
     @Override
--- a/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
+++ b/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
@@ -7,9 +7,11 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import org.siskintiller.core.spread.SpreadPlan;
 import org.siskintiller.core.supply.ReaderChoice;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.peer.ConfigUpdate;
 import org.siskintiller.router.peer.FleetIntervals;
 import org.siskintiller.router.peer.PeerClient;
 import org.siskintiller.router.peer.PeerStatus;
@@ -29,6 +31,7 @@
     private final Counter sentConfigBytes;
     private Set<String> readers = Set.of();
     private boolean hasSupplier;
+    private boolean isDistributor;
     private int connectedCount = 1;
     private long refreshedNs = Long.MIN_VALUE / 2;
     private boolean alwaysReads;
@@ -66,31 +69,58 @@
         }
     }
 
-    /** Passes a configuration of the store on to the companions that this one supplies. */
-    void passOn(byte[] config, long version) {
+    /** Passes a configuration of the store on to the other companions of the domain, unless another reader does. */
+    void passOn(ConfigUpdate update) {
+        refresh();
+        if (!isDistributor) {
+            return;
+        }
+        List<String> recipients =
+                suppliedClients().stream().map(PeerClient::instance).toList();
+        passOn(update, recipients);
+    }
+
+    /** Passes a configuration on to the recipients that are connected. Others ask for it. */
+    void passOn(ConfigUpdate update, List<String> recipients) {
         long startNs = System.nanoTime();
-        List<PeerClient> recipients = suppliedClients();
-        int[] unwritten = {recipients.size()};
-        for (PeerClient client : recipients) {
-            sentConfigBytes.inc(config.length);
-            client.shareConfig(config, () -> {
-                if (--unwritten[0] == 0) {
-                    logPassedOn(version, recipients.size(), config.length, startNs);
-                }
-            });
+        List<String> responsive = recipients.stream()
+                .filter(instance -> peers.client(instance)
+                        .filter(client -> client.responsive(startNs))
+                        .isPresent())
+                .toList();
+        List<SpreadPlan.Copy> copies = SpreadPlan.of(responsive, update.bytes());
+        int[] unwritten = {copies.size()};
+        for (SpreadPlan.Copy copy : copies) {
+            sentConfigBytes.inc(update.bytes());
+            peers.client(copy.receiver())
+                    .ifPresent(client -> client.shareConfig(update, copy.relayTo(), () -> {
+                        if (--unwritten[0] == 0) {
+                            logPassedOn(update, responsive.size(), copies.size(), startNs);
+                        }
+                    }));
         }
     }
 
+    /** Whether this companion reads the store for others. */
+    boolean isReader() {
+        refresh();
+        return readers.contains(self.instance());
+    }
+
     /** Logs how long it took until the sockets had accepted all copies. */
-    private static void logPassedOn(long version, int recipients, int bytes, long startNs) {
+    private static void logPassedOn(ConfigUpdate update, int recipients, int copies, long startNs) {
         EventLog.log(
                 LogEvent.CONFIG_PASSED_ON,
                 "version",
-                version,
+                update.version(),
+                "base",
+                update.baseVersion(),
                 "recipients",
                 recipients,
+                "copies",
+                copies,
                 "bytes_each",
-                bytes,
+                update.bytes(),
                 "write_ms",
                 TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs));
     }
@@ -125,6 +155,9 @@
         }
         connectedCount = connected.size();
         readers = ReaderChoice.readers(connected);
+        isDistributor = ReaderChoice.distributor(self.failureDomain(), connected, readers)
+                .filter(self.instance()::equals)
+                .isPresent();
         hasSupplier = ReaderChoice.hasSupplier(self.instance(), connected, readers);
     }
 
--- a/router/src/main/java/org/siskintiller/router/peer/Frames.java
+++ b/router/src/main/java/org/siskintiller/router/peer/Frames.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -32,6 +33,26 @@
 
     private Frames() {}
 
+    static Frame sharedConfig(ConfigUpdate update, List<String> relayTo) {
+        return Frame.newBuilder()
+                .setSharedConfig(CompanionProto.SharedConfig.newBuilder()
+                        .setVersion(update.version())
+                        .setBaseVersion(update.baseVersion())
+                        .setData(ByteString.copyFrom(update.data()))
+                        .addAllRelayTo(relayTo))
+                .build();
+    }
+
+    /** Returns nothing for a frame of an earlier build, which names no version. */
+    static Optional<ConfigUpdate> configUpdate(CompanionProto.SharedConfig config) {
+        return config.getVersion() <= config.getBaseVersion()
+                ? Optional.empty()
+                : Optional.of(new ConfigUpdate(
+                        config.getVersion(),
+                        config.getBaseVersion(),
+                        config.getData().toByteArray()));
+    }
+
     static Frame request(int stream, ForwardedRequest request, long nowNs) {
         CompanionProto.Request.Builder builder = CompanionProto.Request.newBuilder()
                 .setStream(stream)
--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
-import com.google.protobuf.ByteString;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -74,7 +73,6 @@
     private PeerStatus status;
     private BackendLoad load = BackendLoad.UNKNOWN;
     private long knownEnd;
-    private long knownConfigVersion;
     private int sentSinceReport;
     private long lastReceivedNs;
     /** Time at which the status of the companion was requested; 0 while no response is pending. */
@@ -119,9 +117,8 @@
     }
 
     /** Records what this companion knew when the last status arrived. */
-    public void recordKnown(long recordsEnd, long configVersion) {
+    public void recordKnown(long recordsEnd) {
         knownEnd = recordsEnd;
-        knownConfigVersion = configVersion;
     }
 
     /** End of the records that this companion knew when the last status but one arrived. */
@@ -129,11 +126,6 @@
         return knownEnd;
     }
 
-    /** Version of the configuration that this companion knew when the last status but one arrived. */
-    public long knownConfigVersion() {
-        return knownConfigVersion;
-    }
-
     public BackendLoad load() {
         return load;
     }
@@ -225,17 +217,22 @@
     /**
      * Sends a configuration.
      *
+     * @param relayTo companions to which the receiver passes it on
      * @param written runs when the socket has accepted the configuration or the connection is lost
      */
-    public void shareConfig(byte[] content, Runnable written) {
+    public void shareConfig(ConfigUpdate update, List<String> relayTo, Runnable written) {
         if (!connected) {
             written.run();
             return;
         }
-        Frame frame = Frame.newBuilder()
-                .setSharedConfig(CompanionProto.SharedConfig.newBuilder().setContent(ByteString.copyFrom(content)))
-                .build();
-        channel.writeAndFlush(frame).addListener(done -> written.run());
+        channel.writeAndFlush(Frames.sharedConfig(update, relayTo)).addListener(done -> written.run());
+    }
+
+    /** Asks the companion for a newer configuration than the given version. */
+    public void requestConfig(long version) {
+        write(Frame.newBuilder()
+                .setConfigRequest(CompanionProto.ConfigRequest.newBuilder().setVersion(version))
+                .build());
     }
 
     public void shareRecords(List<StoredRecord> records) {
@@ -319,6 +316,11 @@
                             frame.getFailure().getTimedOut()));
                 }
             }
+            case SHARED_CONFIG -> {
+                CompanionProto.SharedConfig config = frame.getSharedConfig();
+                Frames.configUpdate(config)
+                        .ifPresent(update -> events.configReceived(update, config.getRelayToList(), instance));
+            }
             case LEASE_REPLY -> events.leaseReplyReceived(instance, Frames.leaseReply(frame.getLeaseReply()));
             case RESIGNATION -> {
                 if (frame.getResignation().getAcknowledged()) {
@@ -341,7 +343,8 @@
                 frame.getConfigVersion(),
                 frame.getRecordsEnd(),
                 frame.getHearsAuthority(),
-                frame.getStoreAgeMs());
+                frame.getStoreAgeMs(),
+                frame.getConfigUpdateBytes());
         if (isFirst) {
             reconnectDelayMs = MIN_RECONNECT_DELAY_MS;
             EventLog.log(LogEvent.PEER_CONNECTED, "peer", instance, "address", address);
--- a/router/src/main/java/org/siskintiller/router/peer/PeerEvents.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerEvents.java
@@ -24,7 +24,15 @@
     /** A connection to another companion was established or lost. */
     void connectionChanged(String instance, boolean connected);
 
-    void configReceived(byte[] content);
+    /**
+     * A companion sent a configuration.
+     *
+     * @param relayTo companions to which this one passes it on
+     */
+    void configReceived(ConfigUpdate update, List<String> relayTo, String from);
+
+    /** Returns an update for a companion with the given version, or nothing if this one has no newer version. */
+    Optional<ConfigUpdate> configRequested(long version);
 
     void recordsReceived(List<StoredRecord> records);
 
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -82,7 +83,8 @@
                         .setConfigVersion(status.configVersion())
                         .setRecordsEnd(status.recordsEnd())
                         .setHearsAuthority(status.authorityResponsive())
-                        .setStoreAgeMs((int) Math.min(Integer.MAX_VALUE, status.storeAgeMs())))
+                        .setStoreAgeMs((int) Math.min(Integer.MAX_VALUE, status.storeAgeMs()))
+                        .setConfigUpdateBytes(status.configUpdateBytes()))
                 .build();
     }
 
@@ -129,8 +131,14 @@
                     events.renewalReceived(Frames.renewal(renewal, instance), renewal.getTerm(), renewal.getSequence())
                             .ifPresent(reply -> channel.writeAndFlush(Frames.leaseReply(reply)));
                 }
-                case SHARED_CONFIG ->
-                    events.configReceived(frame.getSharedConfig().getContent().toByteArray());
+                case SHARED_CONFIG -> {
+                    CompanionProto.SharedConfig config = frame.getSharedConfig();
+                    Frames.configUpdate(config)
+                            .ifPresent(update -> events.configReceived(update, config.getRelayToList(), instance));
+                }
+                case CONFIG_REQUEST ->
+                    events.configRequested(frame.getConfigRequest().getVersion())
+                            .ifPresent(update -> channel.writeAndFlush(Frames.sharedConfig(update, List.of())));
                 case SHARED_RECORDS ->
                     events.recordsReceived(
                             Frames.records(frame.getSharedRecords().getRecordsList()));
--- a/router/src/main/java/org/siskintiller/router/peer/PeerStatus.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerStatus.java
@@ -13,6 +13,7 @@
  * @param recordsEnd offset after the last record of the control topic that it knows
  * @param authorityResponsive whether it recently received a message from the lease authority
  * @param storeAgeMs age of its last contact with the store
+ * @param configUpdateBytes size of the update that brought its configuration
  */
 public record PeerStatus(
         String service,
@@ -21,7 +22,8 @@
         long configVersion,
         long recordsEnd,
         boolean authorityResponsive,
-        long storeAgeMs) {
+        long storeAgeMs,
+        int configUpdateBytes) {
 
     public PeerStatus {
         Objects.requireNonNull(service, "service");
--- a/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
 import com.codahale.metrics.Counter;
@@ -52,6 +53,7 @@
     private final RouterSettings settings;
     private final Backends backends;
     private final Predicate<String> runsLocally;
+    private LongSupplier configDelayMs = () -> 0;
     private final Set<String> replacedHeaders;
     private final WeightedSplit serviceSplit = new WeightedSplit();
     private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
@@ -99,6 +101,11 @@
         metrics.gauge("ingress.parked", () -> parkedTasks::size);
     }
 
+    /** Sets the source of the time in ms since a newer configuration has been known to exist; 0 if none is. */
+    public void setConfigDelay(LongSupplier delayMs) {
+        configDelayMs = delayMs;
+    }
+
     /** Applies a configuration. Requests that arrived earlier keep their route. */
     public void apply(RouteTable next) {
         routes = next;
@@ -169,8 +176,7 @@
         String host = Optional.ofNullable(request.headers().get("host")).orElse("");
         Optional<Route> route = routes.find(host, path(request.uri()));
         if (route.isEmpty()) {
-            return respondWithError(
-                    response, request, NOT_FOUND, "no route of host " + host + " matches the path", List.of());
+            return respondWithoutRoute(request, response, host);
         }
         RequestTask task = newTask(id, request, route.get(), response);
         openTasks.add(task);
@@ -178,6 +184,21 @@
         return task::callerDisconnected;
     }
 
+    /** A route that is missing here may have been added by a newer configuration, which will arrive within a second. */
+    private Runnable respondWithoutRoute(CallerRequest request, CallerResponse response, String host) {
+        String detail = "no route of host " + host + " matches the path";
+        long behindMs = configDelayMs.getAsLong();
+        if (behindMs == 0) {
+            return respondWithError(response, request, NOT_FOUND, detail, List.of());
+        }
+        return respondWithError(
+                response,
+                request,
+                UNAVAILABLE,
+                detail + ", a newer configuration has been known for " + behindMs + " ms",
+                List.of(new Header("Retry-After", NOT_READY_RETRY_AFTER_S)));
+    }
+
     SharedRetryBudget retryBudget(String service) {
         return retryBudgets.computeIfAbsent(service, name -> {
             SharedRetryBudget retryBudget =
