Count only the readers of the own domain as suppliers

A companion stopped reading while a reader of any domain had reached the store, although readers pass records on to their own domain only. A domain whose reader was cut off learned of changes from status frames. ReaderChoiceTest.CutOffReader fails without the comparison of the domains.

--- a/core/src/main/java/org/siskintiller/core/supply/ReaderChoice.java
+++ b/core/src/main/java/org/siskintiller/core/supply/ReaderChoice.java
@@ -60,11 +60,14 @@
         return readers.stream().filter(inDomain::contains).findFirst();
     }
 
-    /** Whether one of the readers other than this companion has reached the store recently. */
-    public static boolean hasSupplier(String self, Collection<Companion> connected, Set<String> readers) {
+    /** Whether a reader of its domain other than this companion has reached the store recently: only those supply it. */
+    public static boolean hasSupplier(Companion self, Collection<Companion> connected, Set<String> readers) {
         for (Companion companion : connected) {
-            boolean isOther = !companion.instance().equals(self);
-            if (isOther && readers.contains(companion.instance()) && companion.storeAgeMs() <= MAX_STORE_AGE_MS) {
+            boolean isOther = !companion.instance().equals(self.instance());
+            if (isOther
+                    && readers.contains(companion.instance())
+                    && companion.failureDomain().equals(self.failureDomain())
+                    && companion.storeAgeMs() <= MAX_STORE_AGE_MS) {
                 return true;
             }
         }
--- a/core/src/test/java/org/siskintiller/core/supply/ReaderChoiceTest.java
+++ b/core/src/test/java/org/siskintiller/core/supply/ReaderChoiceTest.java
@@ -84,13 +84,32 @@
                     .map(companion -> new Companion(companion.instance(), companion.failureDomain(), 20_000))
                     .toList();
 
-            assertThat(ReaderChoice.hasSupplier("machine-0", reachable, readers))
+            assertThat(ReaderChoice.hasSupplier(reachable.get(0), reachable, readers))
                     .isTrue();
-            assertThat(ReaderChoice.hasSupplier("machine-0", unreachable, readers))
+            assertThat(ReaderChoice.hasSupplier(unreachable.get(0), unreachable, readers))
                     .isFalse();
         }
     }
 
+    @Nested
+    class CutOffReader {
+        /** Guards against a domain that waits for readers of other domains, which pass nothing on to it. */
+        @Test
+        void ofTheOwnDomainIsNoSupplier() {
+            List<Companion> fleet = new ArrayList<>(fleet(30, 6));
+            Set<String> readers = ReaderChoice.readers(fleet);
+            Companion self = fleet.stream()
+                    .filter(companion -> !readers.contains(companion.instance()))
+                    .findFirst()
+                    .orElseThrow();
+            fleet.replaceAll(companion -> companion.failureDomain().equals(self.failureDomain())
+                    ? new Companion(companion.instance(), companion.failureDomain(), 20_000)
+                    : companion);
+
+            assertThat(ReaderChoice.hasSupplier(self, fleet, readers)).isFalse();
+        }
+    }
+
     private static List<Companion> fleet(int size, int domains) {
         List<Companion> fleet = new ArrayList<>();
         for (int i = 0; i < size; i++) {
--- a/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
+++ b/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
@@ -146,7 +146,8 @@
         }
         refreshedNs = nowNs;
         List<ReaderChoice.Companion> connected = new ArrayList<>();
-        connected.add(new ReaderChoice.Companion(self.instance(), self.failureDomain(), 0));
+        ReaderChoice.Companion own = new ReaderChoice.Companion(self.instance(), self.failureDomain(), 0);
+        connected.add(own);
         for (PeerClient client : peers.clients()) {
             PeerStatus status = client.status().orElse(null);
             if (status != null && client.responsive(nowNs)) {
@@ -158,7 +159,7 @@
         isDistributor = ReaderChoice.distributor(self.failureDomain(), connected, readers)
                 .filter(self.instance()::equals)
                 .isPresent();
-        hasSupplier = ReaderChoice.hasSupplier(self.instance(), connected, readers);
+        hasSupplier = ReaderChoice.hasSupplier(own, connected, readers);
     }
 
     private long connectedPeers() {
