Limit what the store and the backend server send in response to calls and orders

A faulty server could send bytes that are no response: line breaks were read until the timeout of a call, the beginning of a line behind a response was joined to the next one (an append that took the 412 of an earlier line, a release that was confirmed by it), an interim response counted as the final one, and pages of records without end were collected until memory ran out.

Change: the connections to the store and those for orders use the decoder of the backend connections, which reports bytes without a request; ResponseLimit ends a request after a number of bytes and interim responses.

--- a/router/src/main/java/org/siskintiller/router/backend/BackendConnection.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendConnection.java
@@ -20,6 +20,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.ResponseDecoder;
 import org.siskintiller.router.request.Destination;
 import org.siskintiller.router.request.ForwardedRequest;
 import org.siskintiller.router.request.Header;
@@ -31,7 +32,7 @@
  * Connection to the backend server, which carries one request at a time. A response is accepted only if it has the id
  * of the request. Bytes that arrive while no request is in progress close the connection.
  */
-final class BackendConnection extends ChannelInboundHandlerAdapter {
+final class BackendConnection extends ChannelInboundHandlerAdapter implements ResponseDecoder.Receiver {
     private static final int MISDIRECTED = 421;
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int FIRST_ERROR_STATUS = 400;
@@ -128,22 +129,24 @@
         }
     }
 
-    /** Whether bytes that are received now can belong to a response. */
-    boolean awaitsBytes() {
+    @Override
+    public boolean awaitsBytes() {
         return exchange != null || draining;
     }
 
-    /** Whether the response has no body because of the method of its request. */
-    boolean awaitsNoBody() {
+    @Override
+    public boolean awaitsNoBody() {
         return exchange != null && exchange.request().method().equals("HEAD");
     }
 
-    void unexpectedBytesReceived() {
+    @Override
+    public void unexpectedBytesReceived() {
         discardAndClose("bytes without a request");
     }
 
     /** Counts decoded bytes. Those of a response that is passed on are limited by its receiver. */
-    void bytesDecoded(int bytes) {
+    @Override
+    public void bytesDecoded(int bytes) {
         if (exchange != null && responseStarted || !awaitsBytes()) {
             return;
         }
--- a/router/src/main/java/org/siskintiller/router/backend/BackendPool.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendPool.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.siskintiller.core.model.Address;
+import org.siskintiller.router.ResponseDecoder;
 import org.siskintiller.router.Sockets;
 import org.siskintiller.router.request.HeaderNames;
 
--- a/router/src/main/java/org/siskintiller/router/backend/KeyOrderSender.java
+++ b/router/src/main/java/org/siskintiller/router/backend/KeyOrderSender.java
@@ -17,10 +17,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.siskintiller.core.lease.KeyOrder;
@@ -28,6 +26,7 @@
 import org.siskintiller.core.model.Address;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.ResponseLimit;
 import org.siskintiller.router.Sockets;
 
 /**
@@ -106,11 +105,8 @@
                 Sockets.connect(loop, address, CONNECT_TIMEOUT_MS, new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline()
-                                .addLast(
-                                        new HttpClientCodec(),
-                                        new HttpObjectAggregator(MAX_RESPONSE_BYTES),
-                                        connection);
+                        ResponseLimit.addHandlers(channel, MAX_RESPONSE_BYTES);
+                        channel.pipeline().addLast(connection);
                     }
                 });
         connecting.addListener(done -> {
@@ -159,6 +155,7 @@
             HttpUtil.setContentLength(request, request.content().readableBytes());
             long timeoutMs = next instanceof KeyOrder.Grant ? GRANT_TIMEOUT_MS : RELEASE_TIMEOUT_MS;
             timeout = loop.schedule(() -> fail("no response"), timeoutMs, TimeUnit.MILLISECONDS);
+            ResponseLimit.requestSent(channel);
             channel.writeAndFlush(request);
         }
 
@@ -168,6 +165,10 @@
                 fail("a response that belongs to no order");
                 return;
             }
+            if (ResponseLimit.isInterim(channel, response.status().code())) {
+                return;
+            }
+            ResponseLimit.responseReceived(channel);
             // A second copy of a response may follow one to a release, so such a connection is not used again.
             boolean isReusable = order instanceof KeyOrder.Grant && HttpUtil.isKeepAlive(response);
             KeyOrder answered = takeOrder();
--- a/router/src/test/java/org/siskintiller/router/backend/KeyOrderSenderTest.java
+++ b/router/src/test/java/org/siskintiller/router/backend/KeyOrderSenderTest.java
@@ -93,6 +93,84 @@
         }
     }
 
+    @Nested
+    class EndlessBytes {
+        private static final String LINE_BREAKS = "\r\n".repeat(50);
+
+        /** Guards against a connection that is read without limit while no order is on its way. */
+        @Test
+        void closeAnIdleConnection() throws Exception {
+            start((response, number) -> {
+                response.write(CONFIRMATION);
+                ScriptedServer.Response.pause(ARRIVAL_MS);
+                response.writeEndlessly(LINE_BREAKS);
+            });
+            grant();
+            Thread.sleep(2 * ARRIVAL_MS);
+
+            assertThat(server.closedByClient()).isEqualTo(1);
+        }
+
+        /** Guards against the beginning of a line that is taken for the status of the next response. */
+        @Test
+        void areNotJoinedToTheNextResponse() throws Exception {
+            start((response, number) -> response.write(number == 1 ? CONFIRMATION + "HTTP/1.1 200 " : HANDOVER));
+            grant();
+            release();
+
+            assertThat(server.connections()).isEqualTo(2);
+            assertThat(released()).isTrue();
+        }
+
+        /** Guards against an order that waits for its timeout although the response cannot come. */
+        @Test
+        void beforeTheHeadEndTheOrder() throws Exception {
+            start((response, number) -> {
+                if (number == 1) {
+                    response.writeEndlessly(LINE_BREAKS);
+                } else {
+                    response.write(CONFIRMATION);
+                }
+            });
+            sendDue();
+            assertThat(server.closedByClient()).isEqualTo(1);
+
+            sendDue();
+            assertThat(served(1)).isTrue();
+        }
+
+        /** Guards against a head and a body of unlimited size. */
+        @Test
+        void inTheHeadOrBodyEndTheOrder() throws Exception {
+            start((response, number) -> {
+                if (number == 1) {
+                    response.write("HTTP/1.1 200 OK\r\n");
+                    response.writeEndlessly("padding: " + "x".repeat(200) + "\r\n");
+                } else if (number == 2) {
+                    response.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+                    response.writeEndlessly("64\r\n" + "x".repeat(100) + "\r\n");
+                } else {
+                    response.write(CONFIRMATION);
+                }
+            });
+            sendDue();
+            sendDue();
+            assertThat(server.closedByClient()).isEqualTo(2);
+
+            sendDue();
+            assertThat(served(1)).isTrue();
+        }
+
+        /** Guards against an interim response that is taken for the outcome of the order. */
+        @Test
+        void ofInterimResponsesAreNoOutcome() throws Exception {
+            start((response, number) -> response.write("HTTP/1.1 100 Continue\r\n\r\n" + CONFIRMATION));
+            grant();
+
+            assertThat(server.closedByClient()).isEqualTo(0);
+        }
+    }
+
     @Nested
     class EndedRun {
         /** Guards against an order for an ended run that reaches the next run at the same address. */
