Limit the parts of a response that wait for their receiver

A backend server that sent chunks of one byte without end filled the memory of its companion: 266,990 parts of a body, each an object of some hundred bytes, were read before the window of 256 KB was full. BackendConnectionTest.EndlessBytes.inTinyChunksAreReadNoFasterThanTheyAreTaken failed before (266,990 parts, at most 3,500 allowed) and passes.

--- a/router/src/main/java/org/siskintiller/router/backend/BackendConnection.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendConnection.java
@@ -1,9 +1,11 @@
 package org.siskintiller.router.backend;
 
+import java.io.ByteArrayOutputStream;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -21,7 +23,6 @@
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.ResponseDecoder;
-import org.siskintiller.router.request.Destination;
 import org.siskintiller.router.request.ForwardedRequest;
 import org.siskintiller.router.request.Header;
 import org.siskintiller.router.request.HeaderNames;
@@ -46,6 +47,8 @@
     private static final int MAX_REJECTION_BYTES = 64 * 1024;
 
     private static final int MAX_INTERIM_RESPONSES = 16;
+    /** Chunks that arrive together are joined up to this size. */
+    private static final int MAX_PART_BYTES = 16 * 1024;
 
     private final HeaderNames names;
     private final BackendPool pool;
@@ -63,7 +66,8 @@
     private boolean reusable = true;
     private boolean closeDelimited;
     private boolean readFailed;
-    private int uncreditedBytes;
+    private final FlowWindow window = new FlowWindow();
+    private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
     private long reusableUntilNs;
 
     BackendConnection(HeaderNames names, BackendPool pool) {
@@ -85,7 +89,8 @@
         responseStarted = false;
         surplusBytes = 0;
         interimResponses = 0;
-        uncreditedBytes = 0;
+        window.clear();
+        collected.reset();
         ForwardedRequest request = newExchange.request();
         ByteBuf body = request.body().length == 0 ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(request.body());
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
@@ -110,8 +115,8 @@
     }
 
     void credit(int bytes) {
-        uncreditedBytes -= bytes;
-        if (uncreditedBytes < Destination.WINDOW_BYTES && !channel.config().isAutoRead()) {
+        window.taken(bytes);
+        if (!window.isFull() && !channel.config().isAutoRead()) {
             channel.config().setAutoRead(true);
         }
     }
@@ -254,19 +259,45 @@
             discarding = !last;
             return;
         }
-        byte[] data = new byte[content.content().readableBytes()];
-        content.content().readBytes(data);
-        if (!last) {
-            uncreditedBytes += data.length;
-            if (uncreditedBytes >= Destination.WINDOW_BYTES) {
-                channel.config().setAutoRead(false);
-            }
-            exchange.data(data, false);
+        collect(content.content());
+        if (last) {
+            byte[] data = takeCollected();
+            BackendExchange endedExchange = endExchange();
+            endedExchange.data(data, true);
+            pool.release(this);
+        } else if (collected.size() >= MAX_PART_BYTES) {
+            passOnCollected();
+        }
+    }
+
+    /** Joins the chunks of one read: a chunk may consist of one byte. */
+    private void collect(ByteBuf content) {
+        byte[] data = ByteBufUtil.getBytes(content);
+        collected.write(data, 0, data.length);
+    }
+
+    private byte[] takeCollected() {
+        byte[] data = collected.toByteArray();
+        collected.reset();
+        return data;
+    }
+
+    private void passOnCollected() {
+        if (exchange == null || collected.size() == 0) {
             return;
         }
-        BackendExchange endedExchange = endExchange();
-        endedExchange.data(data, true);
-        pool.release(this);
+        byte[] data = takeCollected();
+        window.read(data.length);
+        if (window.isFull()) {
+            channel.config().setAutoRead(false);
+        }
+        exchange.data(data, false);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        passOnCollected();
+        context.fireChannelReadComplete();
     }
 
     /** Reads on after a rejection, so that the connection can be reused. */
--- a/router/src/test/java/org/siskintiller/router/backend/BackendConnectionTest.java
+++ b/router/src/test/java/org/siskintiller/router/backend/BackendConnectionTest.java
@@ -17,6 +17,9 @@
 
 /** Responses of a faulty backend server. Requests are sent one after the other on the connections of one pool. */
 class BackendConnectionTest {
+    /** Parts of 300 bytes with their objects that fit in 1 MB. */
+    private static final int MAX_WAITING_PARTS = 3_500;
+
     private static final HeaderNames NAMES = new HeaderNames(
             "request-id", "deadline-ms", "expected-instance", "caller-service", "key", "not-executed", "load");
     /** Time within which bytes that follow a response have arrived. */
@@ -203,6 +206,20 @@
             awaitClose();
         }
 
+        /** Guards against memory that is filled by many small parts, while their bytes are within the window. */
+        @Test
+        void inTinyChunksAreReadNoFasterThanTheyAreTaken() throws Exception {
+            start((response, number) -> {
+                response.write("HTTP/1.1 200 OK\r\nrequest-id: a\r\ntransfer-encoding: chunked\r\n\r\n");
+                response.writeEndlessly("1\r\nx\r\n".repeat(20));
+            });
+            RecordedExchange exchange = send("a");
+            Thread.sleep(1_000);
+
+            assertThat(exchange.parts()).isGreaterThan(0);
+            assertThat(exchange.parts()).isAtMost(MAX_WAITING_PARTS);
+        }
+
         /** Guards against a refusal that waits for the end of its body. */
         @Test
         void inTheBodyOfARefusalDoNotDelayIt() throws Exception {
--- a/router/src/test/java/org/siskintiller/router/backend/RecordedExchange.java
+++ b/router/src/test/java/org/siskintiller/router/backend/RecordedExchange.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.siskintiller.core.path.RequestKind;
 import org.siskintiller.router.request.ForwardedRequest;
@@ -20,6 +21,7 @@
     private final ForwardedRequest request;
     private final CompletableFuture<String> outcome = new CompletableFuture<>();
     private final StringBuilder body = new StringBuilder();
+    private final AtomicInteger parts = new AtomicInteger();
     private int status;
 
     RecordedExchange(String id) {
@@ -45,6 +47,11 @@
         return outcome.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Number of parts of the body that were received, each of which is an object in memory. */
+    int parts() {
+        return parts.get();
+    }
+
     @Override
     public ForwardedRequest request() {
         return request;
@@ -62,6 +69,7 @@
 
     @Override
     public void data(byte[] data, boolean last) {
+        parts.incrementAndGet();
         body.append(new String(data, StandardCharsets.ISO_8859_1));
         if (last) {
             outcome.complete(status + " " + body);
