Limit the responses that are held for a retry, and what a companion sends beyond its window

A response was held whole up to 256 KB for each request, whatever the number of requests: 80 callers of a backend server that sends bodies without end filled 20 MB, in parts of one byte five times as much, of a heap of 64 MB. When such a response began to be streamed, the bytes that had been held were credited a second time, so the window grew by them. A companion that ignored the window was read without limit, and frames of up to 5 MB were collected on connections that only carry small ones.

HeldResponses limits the memory of all held responses; beyond it they are streamed and cannot be retried.

--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -48,6 +48,9 @@
             Frame.KindCase.REFUSAL,
             Frame.KindCase.FAILURE);
 
+    /** A sender notices a full window after it has read a part of the response beyond it. */
+    private static final int MAX_UNTAKEN_BYTES = 2 * Destination.WINDOW_BYTES;
+
     private static final int MIN_CONNECT_TIMEOUT_MS = 700;
     /** A saturated link delays a connection by seconds. After an outage, TCP repeats the first packet every 2 s at most. */
     private static final int MAX_CONNECT_TIMEOUT_MS = 2_800;
@@ -61,6 +64,8 @@
     /** The connection is closed if the companion does not respond to a request for its status within this time. */
     private static final long CLOSE_AFTER_NS = 1_400_000_000L;
 
+    private static final String LOST = "lost its connection";
+
     private final String self;
     private final String instance;
     private final EventLoop loop;
@@ -146,7 +151,8 @@
                 Sockets.connect(loop, address, connectTimeout.currentMs(), new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel newChannel) {
-                        PeerPipeline.add(newChannel.pipeline(), new FrameReader());
+                        PeerPipeline.add(
+                                newChannel.pipeline(), PeerPipeline.MAX_RESPONSE_FRAME_BYTES, new FrameReader());
                     }
                 });
         channel = future.channel();
@@ -363,6 +369,14 @@
         if (stream == null) {
             return;
         }
+        stream.untakenBytes += frame.getData().size();
+        if (stream.untakenBytes > MAX_UNTAKEN_BYTES) {
+            EventLog.log(
+                    LogEvent.PEER_MALFORMED, "peer", instance, "cause", "more response data than the window allows");
+            stream.cancel();
+            fail(List.of(stream), "sent more than its window");
+            return;
+        }
         if (frame.getLast()) {
             streams.remove(frame.getStream());
         }
@@ -380,7 +394,7 @@
             EventLog.log(LogEvent.PEER_CONNECT_FAILED, "peer", instance, "cause", "lost", "streams", ended.size());
             events.connectionChanged(instance, false);
         }
-        fail(ended);
+        fail(ended, LOST);
         reconnectLater();
     }
 
@@ -390,9 +404,9 @@
         return removed;
     }
 
-    private void fail(List<Stream> ended) {
+    private void fail(List<Stream> ended, String cause) {
         for (Stream stream : ended) {
-            stream.listener.failed(new SendFailure("the connection to " + instance + " was lost", false));
+            stream.listener.failed(new SendFailure(instance + " " + cause, false));
         }
     }
 
@@ -422,7 +436,7 @@
             if (lost == channel) {
                 connectionLost(stream -> stream.via == lost);
             } else {
-                fail(removeStreams(stream -> stream.via == lost));
+                fail(removeStreams(stream -> stream.via == lost), LOST);
             }
         }
 
@@ -438,6 +452,8 @@
         private final boolean repeatable;
         private final long deadlineNs;
         private final ResponseListener listener;
+        /** Bytes of the response that were received and for which no credit was given yet. */
+        private int untakenBytes;
         /** Connection on which the request was sent. */
         private final Channel via = channel;
 
@@ -458,6 +474,7 @@
         @Override
         public void credit(int bytes) {
             if (streams.containsKey(id) && bytes > 0) {
+                untakenBytes -= bytes;
                 via.writeAndFlush(Frames.credit(id, bytes));
             }
         }
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -52,7 +52,7 @@
         server = Sockets.bind(loop, address, new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                PeerPipeline.add(channel.pipeline(), new Connection());
+                PeerPipeline.add(channel.pipeline(), PeerPipeline.MAX_REQUEST_FRAME_BYTES, new Connection());
             }
         });
     }
--- a/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
@@ -58,6 +58,7 @@
     private final WeightedSplit serviceSplit = new WeightedSplit();
     private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
     private final Map<String, Long> longestDeadlinesMs = new HashMap<>();
+    private final HeldResponses heldResponses = new HeldResponses();
     private final Set<RequestTask> parkedTasks = new LinkedHashSet<>();
     private final Set<RequestTask> openTasks = new LinkedHashSet<>();
     private final Timer responseTimer;
@@ -208,6 +209,10 @@
         });
     }
 
+    HeldResponses heldResponses() {
+        return heldResponses;
+    }
+
     Backends backends() {
         return backends;
     }
--- a/router/src/main/java/org/siskintiller/router/request/RequestTask.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTask.java
@@ -42,6 +42,11 @@
     private final Set<String> excludedInstances = new HashSet<>();
     private final List<byte[]> bufferedData = new ArrayList<>();
     private int bufferedBytes;
+    /** Memory that the held parts of all attempts take. */
+    private int heldBytes;
+    /** Bytes for which credit was given when they were held, before they were written to the caller. */
+    private int creditedBytes;
+
     private ResponseHead head;
     private boolean streaming;
     private boolean ended;
@@ -251,17 +256,29 @@
 
     private void startStreaming() {
         streaming = true;
+        creditedBytes = bufferedBytes;
         response.start(head);
         bufferedData.forEach(data -> response.data(data, false));
         bufferedData.clear();
+        releaseHeld();
     }
 
     private void bodyWritten(int bytes) {
-        if (streaming && sentRequest != null) {
-            sentRequest.credit(bytes);
+        if (!streaming || sentRequest == null) {
+            return;
+        }
+        int creditedBefore = Math.min(creditedBytes, bytes);
+        creditedBytes -= creditedBefore;
+        if (bytes > creditedBefore) {
+            sentRequest.credit(bytes - creditedBefore);
         }
     }
 
+    private void releaseHeld() {
+        router.heldResponses().release(heldBytes);
+        heldBytes = 0;
+    }
+
     private void refuse(long retryAfterMs) {
         if (mayHaveRun) {
             respondWithError(BAD_GATEWAY, List.of());
@@ -356,6 +373,7 @@
 
     private void end(boolean success) {
         ended = true;
+        releaseHeld();
         deadlineTimer.cancel(false);
         router.taskEnded(this, success, System.nanoTime() - arrivedNs);
     }
@@ -397,6 +415,9 @@
                 }
                 return;
             }
+            int held = data.length == 0 ? 0 : router.heldResponses().tryHold(data.length);
+            boolean isHeld = held > 0 || data.length == 0;
+            heldBytes += held;
             if (data.length > 0) {
                 bufferedData.add(data);
                 bufferedBytes += data.length;
@@ -409,7 +430,7 @@
             if (sentRequest != null) {
                 sentRequest.credit(data.length);
             }
-            if (bufferedBytes >= MAX_BUFFERED_BYTES) {
+            if (bufferedBytes >= MAX_BUFFERED_BYTES || !isHeld) {
                 startStreaming();
             }
         }
