Refuse downloads whose responses would pass the link too late

Cause: admission looked at the slots of the backend server only. Seven machines with links of 12 Mbit/s are asked for some 10 MB/s and carry 8.4, while their slots are half free; each response waited behind all others and came after the objective or the deadline of its caller. Class of fault: a resource that is shared and not accounted for where work is accepted.

Change: LinkForecast accepts a request for a download if its response passes the link before the objective, by what waits, what accepted requests will bring and the mean size; one that is late already gets an almost free link only. What is refused has not run and gets the time after which there is room.

--- a/router/src/main/java/org/siskintiller/router/peer/LinkPacer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/LinkPacer.java
@@ -7,6 +7,7 @@
 
 import io.netty.channel.EventLoop;
 import org.siskintiller.core.path.LinkBudget;
+import org.siskintiller.core.path.LinkForecast;
 
 /**
  * Sends the bodies of downloads in the order of their arrival, below the rate of the machine's link. Bytes that wait here
@@ -18,12 +19,15 @@
 
     private final EventLoop loop;
     private final LinkBudget budget;
+    private final LinkForecast forecast;
     private final Deque<Write> waiting = new ArrayDeque<>();
+    private long waitingBytes;
     private boolean drainScheduled;
 
     LinkPacer(EventLoop loop, long linkBytesPerSecond) {
         this.loop = loop;
         this.budget = new LinkBudget(linkBytesPerSecond * BODY_SHARE);
+        this.forecast = new LinkForecast(linkBytesPerSecond * BODY_SHARE);
     }
 
     /**
@@ -33,6 +37,7 @@
      */
     void write(int bytes, BooleanSupplier isNeeded, Runnable write) {
         waiting.addLast(new Write(bytes, isNeeded, write));
+        waitingBytes += bytes;
         if (!drainScheduled) {
             drain();
         }
@@ -43,6 +48,16 @@
         budget.take(bytes, System.nanoTime());
     }
 
+    /** Forecast for the bodies that this object sends. */
+    LinkForecast forecast() {
+        return forecast;
+    }
+
+    /** Time until a response to a new request has passed the link. */
+    long arrivalNs(long nowNs) {
+        return forecast.arrivalNs(waitingBytes, budget.waitNs(nowNs));
+    }
+
     int waiting() {
         return waiting.size();
     }
@@ -57,6 +72,7 @@
                 return;
             }
             waiting.pollFirst();
+            waitingBytes -= next.bytes;
             if (isNeeded) {
                 next.action.run();
             }
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -15,6 +16,7 @@
 import io.netty.channel.socket.SocketChannel;
 import org.siskintiller.core.balance.BackendLoad;
 import org.siskintiller.core.model.Address;
+import org.siskintiller.core.path.LinkForecast;
 import org.siskintiller.core.path.RequestKind;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
@@ -23,6 +25,7 @@
 import org.siskintiller.router.backend.BackendGate;
 import org.siskintiller.router.request.ForwardedRequest;
 import org.siskintiller.router.request.Refusal;
+import org.siskintiller.router.request.RefusalReason;
 import org.siskintiller.router.request.ResponseHead;
 import org.siskintiller.router.request.ResponseListener;
 import org.siskintiller.router.request.SendFailure;
@@ -174,7 +177,7 @@
         }
 
         private void send(ForwardedRequest request, Stream stream) {
-            if (streams.containsKey(stream.id)) {
+            if (streams.containsKey(stream.id) && stream.reserveLink(request)) {
                 stream.sentRequest = gate.send(request, stream);
             }
         }
@@ -195,6 +198,8 @@
         private final boolean isPaced;
 
         private SentRequest sentRequest;
+        /** Reservation of the link for a paced body. */
+        private LinkForecast.Response expected;
         /** Parts of the response that wait for the link. What follows them waits too, to keep the order. */
         private int waitingWrites;
 
@@ -212,6 +217,10 @@
         @Override
         public void data(byte[] data, boolean last) {
             if (isPaced) {
+                expected.received(data.length);
+                if (last) {
+                    expected.completed();
+                }
                 writePaced(Frames.data(id, data, last), data.length, last);
                 return;
             }
@@ -232,7 +241,37 @@
             writeLast(Frames.failure(id, failure, load()));
         }
 
+        /** Refuses a download whose response would pass the link too late. */
+        private boolean reserveLink(ForwardedRequest request) {
+            if (!isPaced) {
+                return true;
+            }
+            long nowNs = System.nanoTime();
+            long arrivalNs = pacer.arrivalNs(nowNs);
+            LinkForecast forecast = pacer.forecast();
+            if (!forecast.accepts(arrivalNs, nowNs, request.objectiveNs(), request.deadlineNs())) {
+                long retryAfterMs = forecast.retryAfterMs(arrivalNs, nowNs, request.objectiveNs());
+                EventLog.log(
+                        LogEvent.ATTEMPT_REFUSED,
+                        "request",
+                        request.requestId(),
+                        "by",
+                        "link",
+                        "arrival_ms",
+                        TimeUnit.NANOSECONDS.toMillis(arrivalNs),
+                        "objective_ms",
+                        TimeUnit.NANOSECONDS.toMillis(request.objectiveNs() - nowNs),
+                        "retry_after_ms",
+                        retryAfterMs);
+                refused(new Refusal(RefusalReason.OVERLOADED, retryAfterMs, false));
+                return false;
+            }
+            expected = forecast.begin();
+            return true;
+        }
+
         private void cancel() {
+            releaseLink();
             if (sentRequest != null) {
                 sentRequest.cancel();
             }
@@ -253,7 +292,14 @@
             });
         }
 
+        private void releaseLink() {
+            if (expected != null) {
+                expected.end();
+            }
+        }
+
         private void writeLast(Frame frame) {
+            releaseLink();
             if (waitingWrites > 0) {
                 writePaced(frame, 0, true);
                 return;
