--- a/logclient/src/test/java/org/siskintiller/logclient/HttpLogClientTest.java
+++ b/logclient/src/test/java/org/siskintiller/logclient/HttpLogClientTest.java
@@ -209,4 +209,34 @@
             assertThat(read(ScriptedServer.response(410, body), 7)).isEqualTo(new ReadResult.Expired(40));
         }
     }
+
+    @Nested
+    class EndlessBytes {
+        /** Guards against a head that is collected until memory is full. */
+        @Test
+        void inTheHeadEndTheCall() throws IOException {
+            assertEndsTheCall("HTTP/1.1 200 OK\r\n", "padding: " + "x".repeat(200) + "\r\n");
+        }
+
+        /** Guards against a line without end. */
+        @Test
+        void inOneLineEndTheCall() throws IOException {
+            assertEndsTheCall("HTTP/1.1 200 OK\r\npadding: ", "x".repeat(1_000));
+        }
+
+        /** Guards against a body that is collected until memory is full. */
+        @Test
+        void inTheBodyEndTheCall() throws IOException {
+            assertEndsTheCall("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\nx\r\n".repeat(100));
+        }
+
+        private void assertEndsTheCall(String beginning, String repeated) throws IOException {
+            try (ScriptedServer server = ScriptedServer.repeating(beginning, repeated)) {
+                ReadResult result = client(server.address()).read("control", 7, 10, 0);
+
+                assertThat(result).isInstanceOf(ReadResult.Unavailable.class);
+                assertThat(server.repeatedBytes()).isLessThan(ScriptedServer.MAX_REPEATED_BYTES);
+            }
+        }
+    }
 }
--- a/logclient/src/test/java/org/siskintiller/logclient/ScriptedServer.java
+++ b/logclient/src/test/java/org/siskintiller/logclient/ScriptedServer.java
@@ -9,19 +9,27 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.siskintiller.core.model.Address;
 
 /** Server that reads one request per connection, writes a given response, then closes or stalls the connection. */
 final class ScriptedServer implements AutoCloseable {
+    static final long MAX_REPEATED_BYTES = 64 * 1024 * 1024;
+
     private final ServerSocket socket;
     private final byte[] response;
     private final boolean stallsAfterwards;
+    /** Written after the response until the client closes the connection, up to a limit. */
+    private final byte[] repeated;
+
+    private final AtomicLong repeatedBytes = new AtomicLong();
     private final CountDownLatch closed = new CountDownLatch(1);
 
-    private ScriptedServer(byte[] response, boolean stallsAfterwards) throws IOException {
+    private ScriptedServer(byte[] response, byte[] repeated, boolean stallsAfterwards) throws IOException {
         this.socket = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
         this.response = response;
+        this.repeated = repeated;
         this.stallsAfterwards = stallsAfterwards;
         Thread thread = new Thread(this::serve, "scripted-server");
         thread.setDaemon(true);
@@ -29,11 +37,21 @@
     }
 
     static ScriptedServer respondingWith(byte[] response) throws IOException {
-        return new ScriptedServer(response, false);
+        return new ScriptedServer(response, new byte[0], false);
     }
 
     static ScriptedServer stallingAfter(byte[] response) throws IOException {
-        return new ScriptedServer(response, true);
+        return new ScriptedServer(response, new byte[0], true);
+    }
+
+    static ScriptedServer repeating(String beginning, String repeated) throws IOException {
+        return new ScriptedServer(
+                beginning.getBytes(StandardCharsets.US_ASCII), repeated.getBytes(StandardCharsets.US_ASCII), false);
+    }
+
+    /** Bytes that were written behind the beginning of the response. */
+    long repeatedBytes() {
+        return repeatedBytes.get();
     }
 
     static byte[] response(int status, byte[] body) {
@@ -58,6 +76,10 @@
                 readRequest(connection.getInputStream());
                 connection.getOutputStream().write(response);
                 connection.getOutputStream().flush();
+                while (repeated.length > 0 && repeatedBytes.get() < MAX_REPEATED_BYTES) {
+                    connection.getOutputStream().write(repeated);
+                    repeatedBytes.addAndGet(repeated.length);
+                }
                 if (stallsAfterwards) {
                     closed.await();
                 }
