Compress a configuration only where somebody needs the update

Each process compressed the first configuration that it read, though no companion was connected. Others that read the store themselves state an estimate of the size instead.

--- a/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
+++ b/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
@@ -32,6 +32,9 @@
     /** A stalled connection to the store must be detected within 5 s, by when a new configuration must be applied. */
     static final long READ_WAIT_MS = 3_000;
 
+    /** Size of a configuration over that of its compressed form, about. */
+    private static final int COMPRESSION_RATIO = 8;
+
     private final ConfigDecoder decoder;
     private final RequestRouter router;
     private final PeerDirectory peers;
@@ -184,9 +187,10 @@
         if (!apply(content, "store")) {
             return false;
         }
-        ConfigUpdate update = archive.updateFrom(before);
-        updateBytes = update.bytes();
-        if (supply.isReader()) {
+        updateBytes = content.length / COMPRESSION_RATIO;
+        if (supply.readsForOthers()) {
+            ConfigUpdate update = archive.updateFrom(before);
+            updateBytes = update.bytes();
             supply.passOn(update);
             versionListener.run();
         }
--- a/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
+++ b/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
@@ -102,9 +102,9 @@
     }
 
     /** Whether this companion reads the store for others. */
-    boolean isReader() {
+    boolean readsForOthers() {
         refresh();
-        return readers.contains(self.instance());
+        return connectedCount > 1 && readers.contains(self.instance());
     }
 
     /** Logs how long it took until the sockets had accepted all copies. */
