Ask for a configuration less and less often while it does not arrive

PatienceTest.contentIsRequestedLessAndLessOften counts 27 requests in 15 s without the change, at most 6 are allowed.

--- a/core/src/main/java/org/siskintiller/core/spread/Patience.java
+++ b/core/src/main/java/org/siskintiller/core/spread/Patience.java
@@ -24,7 +24,9 @@
     private static final long NS_PER_S = 1_000_000_000L;
 
     /** Time in which an asked companion responds. After it, another one is asked and the store is read. */
-    private static final long RESPONSE_WAIT_NS = 500_000_000L;
+    private static final long MIN_RESPONSE_WAIT_NS = 500_000_000L;
+    /** The time doubles up to this one: on a saturated link each response delays the others. */
+    private static final long MAX_RESPONSE_WAIT_NS = 4_000_000_000L;
     /** Limit of the companions that are remembered as those who know the content. */
     private static final int MAX_SOURCES = 16;
 
@@ -33,6 +35,7 @@
     private long newestVersion;
     private long behindSinceNs;
     private long nextStepNs;
+    private long responseWaitNs = MIN_RESPONSE_WAIT_NS;
 
     /**
      * Records that another companion knows a version that is newer than the own one.
@@ -61,6 +64,7 @@
             sources.clear();
             asked.clear();
             behindSinceNs = 0;
+            responseWaitNs = MIN_RESPONSE_WAIT_NS;
         }
     }
 
@@ -90,7 +94,8 @@
         if (!isBehind() || nowNs < nextStepNs) {
             return Step.WAIT;
         }
-        nextStepNs = nowNs + RESPONSE_WAIT_NS;
+        nextStepNs = nowNs + responseWaitNs;
+        responseWaitNs = Math.min(MAX_RESPONSE_WAIT_NS, 2 * responseWaitNs);
         List<String> candidates = new ArrayList<>(sources);
         candidates.removeAll(asked);
         boolean readsStore = !asked.isEmpty() || candidates.isEmpty();
--- a/core/src/test/java/org/siskintiller/core/spread/PatienceTest.java
+++ b/core/src/test/java/org/siskintiller/core/spread/PatienceTest.java
@@ -64,6 +64,20 @@
             assertThat(asked).isPresent();
         }
 
+        /** Guards against requests that keep a saturated link busy with copies of the same content. */
+        @Test
+        void contentIsRequestedLessAndLessOften() {
+            int requests = 0;
+            for (int i = 0; i < 16; i++) {
+                patience.newerVersionKnown("reader-" + i, 7, LARGE_BYTES, ns(0));
+            }
+            for (long ms = 0; ms < 15_000; ms += 100) {
+                requests += patience.step(ns(ms), RANDOM).askedCompanion().isPresent() ? 1 : 0;
+            }
+
+            assertThat(requests).isAtMost(6);
+        }
+
         /** Guards against a difference without its base that delays the configuration. */
         @Test
         void unusableContentIsReplacedAtOnce() {
