--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -133,11 +133,11 @@
         callerServer.bind(settings.callers());
         readinessServer.bind(settings.readiness());
         heartbeatServer.bind(settings.heartbeats());
+        // The control part must have started when the first companion connects.
         loop.execute(() -> control.start(router, config, peerServer::publishStatus));
         peerServer.bind(settings.companions());
         metricsServer.bind(settings.metrics());
         lag.start();
-
         EventLog.log(
                 LogEvent.STARTED,
                 "instance",
--- a/router/src/main/java/org/siskintiller/router/backend/BackendConnection.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendConnection.java
@@ -67,7 +67,9 @@
     private boolean closeDelimited;
     private boolean readFailed;
     private final FlowWindow window = new FlowWindow();
+    /** Bytes of the present read that were not passed on yet. */
     private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
+
     private long reusableUntilNs;
 
     BackendConnection(HeaderNames names, BackendPool pool) {
@@ -294,6 +296,7 @@
         exchange.data(data, false);
     }
 
+    /** Passes on what has arrived together. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         passOnCollected();
--- a/router/src/main/java/org/siskintiller/router/request/RequestTask.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTask.java
@@ -42,7 +42,7 @@
     private final Set<String> excludedInstances = new HashSet<>();
     private final List<byte[]> bufferedData = new ArrayList<>();
     private int bufferedBytes;
-    /** Memory that the held parts of all attempts take. */
+    /** Memory that the held parts of the response, and of the fallback response, take. */
     private int heldBytes;
     /** Bytes for which credit was given when they were held, before they were written to the caller. */
     private int creditedBytes;
@@ -139,6 +139,10 @@
         head = null;
         bufferedData.clear();
         bufferedBytes = 0;
+        creditedBytes = 0;
+        if (fallbackResponse == null) {
+            releaseHeld();
+        }
         Attempt attempt = new Attempt(target);
         currentAttempt = attempt;
         router.backends().requestSent(target);
@@ -256,7 +260,6 @@
 
     private void startStreaming() {
         streaming = true;
-        creditedBytes = bufferedBytes;
         response.start(head);
         bufferedData.forEach(data -> response.data(data, false));
         bufferedData.clear();
@@ -429,6 +432,7 @@
             }
             if (sentRequest != null) {
                 sentRequest.credit(data.length);
+                creditedBytes += data.length;
             }
             if (bufferedBytes >= MAX_BUFFERED_BYTES || !isHeld) {
                 startStreaming();
