--- a/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
@@ -58,7 +58,7 @@
     private final WeightedSplit serviceSplit = new WeightedSplit();
     private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
     private final Map<String, Long> longestDeadlinesMs = new HashMap<>();
-    private final HeldResponses heldResponses = new HeldResponses();
+    private final ResponseBuffers responseBuffers = new ResponseBuffers();
     private final Set<RequestTask> parkedTasks = new LinkedHashSet<>();
     private final Set<RequestTask> openTasks = new LinkedHashSet<>();
     private final Timer responseTimer;
@@ -209,8 +209,8 @@
         });
     }
 
-    HeldResponses heldResponses() {
-        return heldResponses;
+    ResponseBuffers responseBuffers() {
+        return responseBuffers;
     }
 
     Backends backends() {
--- a/router/src/main/java/org/siskintiller/router/request/RequestTask.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTask.java
@@ -42,9 +42,9 @@
     private final Set<String> excludedInstances = new HashSet<>();
     private final List<byte[]> bufferedData = new ArrayList<>();
     private int bufferedBytes;
-    /** Memory that the held parts of the response, and of the fallback response, take. */
-    private int heldBytes;
-    /** Bytes for which credit was given when they were held, before they were written to the caller. */
+    /** Memory reserved for the buffered parts of the response and of the fallback response. */
+    private int reservedBytes;
+    /** Bytes for which credit was given when they were buffered, before they were written to the caller. */
     private int creditedBytes;
 
     private ResponseHead head;
@@ -141,7 +141,7 @@
         bufferedBytes = 0;
         creditedBytes = 0;
         if (fallbackResponse == null) {
-            releaseHeld();
+            releaseBuffers();
         }
         Attempt attempt = new Attempt(target);
         currentAttempt = attempt;
@@ -263,7 +263,7 @@
         response.start(head);
         bufferedData.forEach(data -> response.data(data, false));
         bufferedData.clear();
-        releaseHeld();
+        releaseBuffers();
     }
 
     private void bodyWritten(int bytes) {
@@ -277,9 +277,9 @@
         }
     }
 
-    private void releaseHeld() {
-        router.heldResponses().release(heldBytes);
-        heldBytes = 0;
+    private void releaseBuffers() {
+        router.responseBuffers().release(reservedBytes);
+        reservedBytes = 0;
     }
 
     private void refuse(long retryAfterMs) {
@@ -376,7 +376,7 @@
 
     private void end(boolean success) {
         ended = true;
-        releaseHeld();
+        releaseBuffers();
         deadlineTimer.cancel(false);
         router.taskEnded(this, success, System.nanoTime() - arrivedNs);
     }
@@ -418,9 +418,9 @@
                 }
                 return;
             }
-            int held = data.length == 0 ? 0 : router.heldResponses().tryHold(data.length);
-            boolean isHeld = held > 0 || data.length == 0;
-            heldBytes += held;
+            int reserved = data.length == 0 ? 0 : router.responseBuffers().tryReserve(data.length);
+            boolean isBuffered = reserved > 0 || data.length == 0;
+            reservedBytes += reserved;
             if (data.length > 0) {
                 bufferedData.add(data);
                 bufferedBytes += data.length;
@@ -434,7 +434,7 @@
                 sentRequest.credit(data.length);
                 creditedBytes += data.length;
             }
-            if (bufferedBytes >= MAX_BUFFERED_BYTES || !isHeld) {
+            if (bufferedBytes >= MAX_BUFFERED_BYTES || !isBuffered) {
                 startStreaming();
             }
         }
--- a/router/src/test/java/org/siskintiller/router/request/EndlessResponseTest.java
+++ b/router/src/test/java/org/siskintiller/router/request/EndlessResponseTest.java
@@ -36,7 +36,7 @@
 /** Many requests whose responses do not end. */
 class EndlessResponseTest {
     /** A quarter of the heap of a companion. */
-    private static final int MAX_HELD_BYTES = 16 * 1024 * 1024;
+    private static final int MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
     /** Memory that a part takes besides its bytes. */
     private static final int PART_BYTES = 64;
 
@@ -86,24 +86,24 @@
 
     @Nested
     class Body {
-        /** Guards against responses that are held for a retry until the memory of the process is full. */
+        /** Guards against responses that are buffered for a retry until the memory of the process is full. */
         @Test
-        void isHeldWithinTheMemoryOfTheProcess() throws Exception {
+        void isBufferedWithinTheMemoryOfTheProcess() throws Exception {
             int sent = sendToAll(200, 1_250);
 
-            await(() -> received.get() >= sent - MAX_HELD_BYTES);
+            await(() -> received.get() >= sent - MAX_BUFFERED_BYTES);
         }
 
         /** Guards against many small parts, which take more memory than their bytes. */
         @Test
-        void inSmallPartsIsHeldWithinTheMemoryOfTheProcess() throws Exception {
+        void inSmallPartsIsBufferedWithinTheMemoryOfTheProcess() throws Exception {
             int sent = sendToAll(8_000, 1);
-            int mostHeld = MAX_HELD_BYTES / (1 + PART_BYTES);
+            int mostBuffered = MAX_BUFFERED_BYTES / (1 + PART_BYTES);
 
-            await(() -> received.get() >= sent - mostHeld);
+            await(() -> received.get() >= sent - mostBuffered);
         }
 
-        /** Guards against a window that grows by what was held when the response begins to be streamed. */
+        /** Guards against a window that grows by what was buffered when the response begins to be streamed. */
         @Test
         void isCreditedOnce() throws Exception {
             int sent = sendToAll(300, 1_250);
