Let BackendClientTest serve a second connection

Cause, in the test: the JDK client puts a connection back some time after the response, so that the second call may open another one, which the scripted server never accepted. The assertions are unchanged; without the comparison of ids in BackendClient all three fail.

--- a/node/src/test/java/org/siskintiller/node/backend/BackendClientTest.java
+++ b/node/src/test/java/org/siskintiller/node/backend/BackendClientTest.java
@@ -8,6 +8,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
@@ -182,35 +184,56 @@
         thread.start();
     }
 
-    /** Accepts one connection and responds to one request after the other with the texts, then ends the connection. */
+    /**
+     * Responds to one request after the other with the texts, then ends the connection. The client may open a second
+     * connection, as it reuses the first one only some time after the response.
+     */
     private void serve(String... responses) {
-        Thread thread = new Thread(() -> {
-            try (Socket connection = server.accept()) {
-                for (String response : responses) {
-                    readHead(connection.getInputStream());
-                    connection.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+        Queue<String> script = new ConcurrentLinkedQueue<>(List.of(responses));
+        startThread(() -> {
+            try {
+                while (true) {
+                    Socket connection = server.accept();
+                    startThread(() -> respond(connection, script));
                 }
-                connection.shutdownOutput();
-                connection.getInputStream().readAllBytes();
             } catch (IOException e) {
-                // The client closed the connection, or the test has ended.
+                // The test has ended.
                 return;
             }
         });
+    }
+
+    private static void respond(Socket connection, Queue<String> script) {
+        try (connection) {
+            while (!script.isEmpty() && readHead(connection.getInputStream())) {
+                connection.getOutputStream().write(script.remove().getBytes(StandardCharsets.US_ASCII));
+            }
+            connection.shutdownOutput();
+            connection.getInputStream().readAllBytes();
+        } catch (IOException e) {
+            // The client closed the connection, or the test has ended.
+            return;
+        }
+    }
+
+    private static void startThread(Runnable task) {
+        Thread thread = new Thread(task);
         thread.setDaemon(true);
         thread.start();
     }
 
-    private static void readHead(InputStream input) throws IOException {
+    /** Reads the head of a request and returns whether there is one. */
+    private static boolean readHead(InputStream input) throws IOException {
         StringBuilder received = new StringBuilder();
         int next = input.read();
-        while (next >= 0 && received.indexOf("\r\n\r\n") < 0) {
+        while (next >= 0) {
             received.append((char) next);
             if (received.indexOf("\r\n\r\n") >= 0) {
-                return;
+                return true;
             }
             next = input.read();
         }
+        return false;
     }
 
     private DispatchOutcome call(RequestId id) {
