--- a/review/standins/OddHeartbeat.java
+++ b/review/standins/OddHeartbeat.java
@@ -55,6 +55,7 @@
         Thread.sleep(CALM_MS);
         if (trouble) {
             Deployment.Machine machine = deployment.machines.get(0);
+            awaitRenewal(holders.get(0));
             String body = "{\"born\":" + System.currentTimeMillis()
                     + ",\"info\":{\"service\":\"" + Deployment.KEYED
                     + "\",\"version\":\"v1\",\"zone\":\"zone-a\",\"slots\":12},\"status\":{\"state\":\"draining\","
@@ -91,6 +92,14 @@
         return longestMs > MAX_SHARED_MS ? 1 : 0;
     }
 
+    /** Waits until the hold of the keys is extended, so that it lasts for some seconds. */
+    private static void awaitRenewal(HeldKeys keys) throws InterruptedException {
+        List<HeldKeys.Row> before = keys.held();
+        while (keys.held().equals(before)) {
+            Thread.sleep(5);
+        }
+    }
+
     private static int keysOf(HeldKeys keys) {
         return keys.held().stream().mapToInt(row -> row.to() - row.from() + 1).sum();
     }
--- a/review/standins/Upstream.java
+++ b/review/standins/Upstream.java
@@ -83,8 +83,7 @@
         up = false;
         server.close();
         for (Socket connection : connections) {
-            connection.setSoLinger(true, 0);
-            connection.close();
+            reset(connection);
         }
         connections.clear();
         Threads.start("upstream-restart", () -> {
@@ -94,6 +93,15 @@
         });
     }
 
+    private static void reset(Socket connection) {
+        try {
+            connection.setSoLinger(true, 0);
+            connection.close();
+        } catch (IOException e) {
+            // The other side has closed the connection.
+        }
+    }
+
     String address() {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
@@ -152,6 +160,14 @@
     }
 
     private void serve(Socket socket) throws Exception {
+        try {
+            serveRequests(socket);
+        } finally {
+            connections.remove(socket);
+        }
+    }
+
+    private void serveRequests(Socket socket) throws Exception {
         try (socket) {
             BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
             for (Http.Message request = Http.read(in); request != null; request = Http.read(in)) {
