--- a/review/standins/StopDuringDownload.java
+++ b/review/standins/StopDuringDownload.java
@@ -21,7 +21,7 @@
      * The exports are this much larger than the buffers of a client's connection, so that the last part of each waits in
      * the companion until the client has taken a part of the buffers.
      */
-    private static final int[] BYTES_BEYOND_BUFFERS = {60_000, 100_000, 140_000};
+    private static final int[] BYTES_BEYOND_BUFFERS = {40_000, 75_000, 110_000, 145_000, 180_000};
     /** "work ms" and "deadline ms" of raster-export in grown/LATER.md. */
     private static final int WORK_MS = 162;
 
