Believe a run of the backend server only on complete evidence

Cause: the decoder required five of the nine fields of a heartbeat and not its address, and one message with a later start time ended the run in force: its keys counted as released at once and its own heartbeats as those of an earlier run. A run that still sends heartbeats is replaced with the second heartbeat of the later one; one that left, was silent for 2 s or sent a single heartbeat at once. A heartbeat without the list of held ranges completes no release.

--- a/core/src/main/java/org/siskintiller/core/lease/KeyHolder.java
+++ b/core/src/main/java/org/siskintiller/core/lease/KeyHolder.java
@@ -104,12 +104,16 @@
         }
         sequence = heartbeat.sequence();
         lastHeartbeatNs = nowNs;
-        heldRanges = heartbeat.held();
+        if (heartbeat.listsHeld()) {
+            heldRanges = heartbeat.held();
+        }
         handovers.addAll(heartbeat.handovers());
         if (releaseAll) {
             releaseAssigned();
         }
-        completeReleases(heartbeat);
+        if (heartbeat.listsHeld()) {
+            completeReleases(heartbeat);
+        }
         return true;
     }
 
--- a/core/src/main/java/org/siskintiller/core/path/BackendPresence.java
+++ b/core/src/main/java/org/siskintiller/core/path/BackendPresence.java
@@ -9,11 +9,18 @@
 public final class BackendPresence {
     /** Three heartbeat intervals of the deployments. A single late heartbeat is usual. */
     private static final long HEARTBEAT_TIMEOUT_NS = 2_700_000_000L;
+    /** A backend server that was silent for two heartbeat intervals may have ended, so that a later run is expected. */
+    private static final long RUN_MAY_HAVE_ENDED_NS = 2_000_000_000L;
     /** Share of the drain time in which requests are still sent, so that requests in transit arrive in time. */
     private static final double SERVING_SHARE_OF_DRAIN = 0.5;
 
     private final long drainNs;
     private Announcement current;
+    /** Whether the present run has sent more than one heartbeat. */
+    private boolean isConfirmed;
+    /** First heartbeat of a later run that is not believed yet; null when there is none. */
+    private Announcement unconfirmed;
+
     private long lastHeartbeatNs;
     private long leavingSinceNs;
     private boolean leaving;
@@ -22,17 +29,22 @@
         this.drainNs = drainMs * 1_000_000;
     }
 
-    /** Applies a heartbeat. Returns false for one that is not newer than the last one. */
+    /**
+     * Applies a heartbeat. Returns false for one that is not newer than the last one, and for the first of a later run while
+     * the present run still sends heartbeats: a single message does not end a run that shows no other sign of its end.
+     */
     public boolean announced(Announcement next, long nowNs) {
-        if (current != null) {
-            boolean isEarlierRun = next.run() < current.run();
-            boolean isRepeated = next.run() == current.run() && next.sequence() <= current.sequence();
-            if (isEarlierRun || isRepeated) {
-                return false;
-            }
+        boolean isNewRun = current == null || next.run() > current.run();
+        if (!isNewRun && !isNewerInRun(next)) {
+            return false;
+        }
+        if (isNewRun && !mayStart(next, nowNs)) {
+            unconfirmed = next;
+            return false;
         }
-        boolean isNewRun = current == null || next.run() != current.run();
         current = next;
+        isConfirmed = !isNewRun;
+        unconfirmed = null;
         lastHeartbeatNs = nowNs;
         if (isNewRun) {
             leaving = false;
@@ -44,6 +56,17 @@
         return true;
     }
 
+    private boolean isNewerInRun(Announcement next) {
+        return next.run() == current.run() && next.id().equals(current.id()) && next.sequence() > current.sequence();
+    }
+
+    private boolean mayStart(Announcement next, long nowNs) {
+        if (current == null || !isConfirmed || leaving || nowNs - lastHeartbeatNs >= RUN_MAY_HAVE_ENDED_NS) {
+            return true;
+        }
+        return unconfirmed != null && unconfirmed.run() == next.run() && unconfirmed.sequence() < next.sequence();
+    }
+
     /** Applies the message that the backend server is leaving. */
     public void left(String id, long nowNs) {
         if (current != null && current.id().equals(id) && !leaving) {
--- a/core/src/test/java/org/siskintiller/core/lease/KeyHolderTest.java
+++ b/core/src/test/java/org/siskintiller/core/lease/KeyHolderTest.java
@@ -168,6 +168,23 @@
             assertThat(holder.released()).containsExactly(new HolderReport.Released(part, 5, "token"));
         }
 
+        /** Guards against a heartbeat without lists that is taken for a report that nothing is held. */
+        @Test
+        void completesNoReleaseWithoutAReportOfHeldRanges() {
+            holder.assign(List.of(GRANT));
+            holder.renewed(0, 3_500);
+            beat(RUN, 0);
+            holder.release(List.of(RANGE));
+            beat(RUN, 100 * MS);
+            assertThat(holder.released()).isEmpty();
+
+            holder.processHeartbeat(new BackendHeartbeat(RUN, ++sequence, false, List.of(), List.of()), 200 * MS);
+            assertThat(holder.released()).isEmpty();
+
+            beat(RUN, 300 * MS);
+            assertThat(holder.released()).hasSize(1);
+        }
+
         /** Guards against keys that are released while a backend server without heartbeats may still hold them. */
         @Test
         void waitsForTheEndOfTheHoldOfAnUnresponsiveBackendServer() {
--- a/core/src/test/java/org/siskintiller/core/path/BackendPresenceTest.java
+++ b/core/src/test/java/org/siskintiller/core/path/BackendPresenceTest.java
@@ -72,6 +72,55 @@
             assertThat(presence.leaving()).isFalse();
         }
 
+        /** Guards against a single message that ends the run of a backend server which still sends heartbeats. */
+        @Test
+        void changesTheRunOfALivingServerOnlyAfterASecondHeartbeat() {
+            presence.announced(announcement(1, 1, false), 0);
+            presence.announced(announcement(1, 2, false), 900 * MS);
+
+            assertThat(presence.announced(announcement(2, 1, true), 1_000 * MS)).isFalse();
+            assertThat(presence.announced(announcement(1, 3, false), 1_800 * MS))
+                    .isTrue();
+            assertThat(presence.announced(announcement(2, 2, true), 1_900 * MS)).isFalse();
+            assertThat(presence.current().run()).isEqualTo(1);
+
+            assertThat(presence.announced(announcement(2, 2, false), 2_000 * MS))
+                    .isFalse();
+            assertThat(presence.announced(announcement(2, 3, false), 2_800 * MS))
+                    .isTrue();
+            assertThat(presence.current().run()).isEqualTo(2);
+        }
+
+        /** Guards against a restarted backend server that is unknown for longer than its restart took. */
+        @Test
+        void changesTheRunOfASilentOrLeavingServerAtOnce() {
+            presence.announced(announcement(1, 1, false), 0);
+            presence.announced(announcement(1, 2, false), 900 * MS);
+            assertThat(presence.announced(announcement(2, 1, false), 3_000 * MS))
+                    .isTrue();
+
+            presence.announced(announcement(2, 2, true), 3_900 * MS);
+            assertThat(presence.announced(announcement(3, 1, false), 4_000 * MS))
+                    .isTrue();
+        }
+
+        /** Guards against a late heartbeat of an ended run that delays the present one after a restart of the companion. */
+        @Test
+        void changesARunThatSentOneHeartbeatAtOnce() {
+            presence.announced(announcement(1, 9, false), 0);
+
+            assertThat(presence.announced(announcement(2, 1, false), 100 * MS)).isTrue();
+        }
+
+        /** Guards against a message with the start time of the present run and another name. */
+        @Test
+        void rejectsAnotherNameForTheSameRun() {
+            presence.announced(announcement(1, 1, false), 0);
+
+            assertThat(presence.announced(new Announcement("other", 1, 2, "service", 12, true, 0), 0))
+                    .isFalse();
+        }
+
         /** Guards against other companions that choose a backend server without heartbeats. */
         @Test
         void isUnavailableWithoutHeartbeats() {
