Keep the leave of a backend server beyond the process that acknowledged it

Cause: only the memory of one process knew of the leave; the next one took a heartbeat that was 3 s late for that of a ready server. A deregistration before any heartbeat was acknowledged and forgotten even without a restart. Change: leaves are recorded under leave/INSTANCE and sent to the connected companions, which confirm them. The gate of a new process is closed until it knows the newest records, from the store or from a companion that marks a complete copy; the readiness check follows the same flag. Why it works: leaves only grow, so that copies merge in any order, and a process that does not know them runs nothing. Cost: one append for each leave, a frame of some 40 bytes to each companion and back.

--- a/core/src/main/java/org/siskintiller/core/path/BackendPresence.java
+++ b/core/src/main/java/org/siskintiller/core/path/BackendPresence.java
@@ -24,6 +24,7 @@
     private long lastHeartbeatNs;
     private long leavingSinceNs;
     private boolean leaving;
+    private BackendLeaves leaves = BackendLeaves.NONE;
 
     public BackendPresence(long drainMs) {
         this.drainNs = drainMs * 1_000_000;
@@ -49,8 +50,11 @@
         if (isNewRun) {
             leaving = false;
         }
-        if (next.draining() && !leaving) {
-            // An earlier process of the companion may have acknowledged the leave of a run that is first seen draining.
+        if (next.draining()) {
+            leaves = leaves.with(next.id(), next.run());
+        }
+        if (!leaving && leaves.covers(next.id(), next.run())) {
+            // An earlier process of the companion may have acknowledged the leave of a run that is first seen leaving.
             leave(isNewRun ? nowNs - drainNs : nowNs);
         }
         return true;
@@ -67,13 +71,31 @@
         return unconfirmed != null && unconfirmed.run() == next.run() && unconfirmed.sequence() < next.sequence();
     }
 
-    /** Applies the message that the backend server is leaving. */
-    public void left(String id, long nowNs) {
-        if (current != null && current.id().equals(id) && !leaving) {
+    /**
+     * Applies the message that the backend server is leaving. Heartbeats of one that is not known yet may arrive after it, so
+     * that all its runs until now count as left.
+     */
+    public void left(String id, long nowNs, long timeOfDayMs) {
+        boolean isCurrent = current != null && current.id().equals(id);
+        leaves = leaves.with(id, isCurrent ? current.run() : timeOfDayMs);
+        if (isCurrent && !leaving) {
             leave(nowNs);
         }
     }
 
+    /** Applies leaves that an earlier process of this companion acknowledged. Their drain time counts as over. */
+    public void leftEarlier(BackendLeaves earlier, long nowNs) {
+        leaves = leaves.merge(earlier);
+        if (current != null && !leaving && leaves.covers(current.id(), current.run())) {
+            leave(nowNs - drainNs);
+        }
+    }
+
+    /** Backend servers beside this companion that have left. */
+    public BackendLeaves leaves() {
+        return leaves;
+    }
+
     public boolean known() {
         return current != null;
     }
--- a/core/src/test/java/org/siskintiller/core/path/BackendPresenceTest.java
+++ b/core/src/test/java/org/siskintiller/core/path/BackendPresenceTest.java
@@ -54,12 +54,62 @@
         @Test
         void ignoresTheLeaveOfAnotherBackendServer() {
             presence.announced(announcement(1, 1, false), 0);
-            presence.left("another", 0);
+            presence.left("another", 0, 0);
 
             assertThat(presence.leaving()).isFalse();
         }
     }
 
+    @Nested
+    class LeavingEarlier {
+        /** Guards against a delayed heartbeat that brings back a server whose leave an earlier process acknowledged. */
+        @Test
+        void acceptsNothingOfARunThatLeft() {
+            presence.leftEarlier(BackendLeaves.NONE.with("i-1", 1), 0);
+            presence.announced(announcement(1, 7, false), 0);
+
+            assertThat(presence.isAvailable(0)).isFalse();
+            assertThat(presence.accepts(0)).isFalse();
+        }
+
+        /** Guards against the same when the leave is learned after the heartbeat. */
+        @Test
+        void endsARunThatIsKnownAlready() {
+            presence.announced(announcement(1, 7, false), 0);
+            presence.leftEarlier(BackendLeaves.NONE.with("i-1", 1), 100 * MS);
+
+            assertThat(presence.accepts(100 * MS)).isFalse();
+        }
+
+        /** Guards against a server that left before its first heartbeat arrived. */
+        @Test
+        void coversARunThatWasNotKnown() {
+            presence.left("i-1", 0, 1_000);
+            presence.announced(announcement(1, 7, false), 0);
+
+            assertThat(presence.accepts(0)).isFalse();
+        }
+
+        /** Guards against a later run under the same name that stays unused. */
+        @Test
+        void doesNotCoverALaterRun() {
+            presence.leftEarlier(BackendLeaves.NONE.with("i-2", 1), 0);
+            presence.announced(announcement(2, 1, false), 0);
+
+            assertThat(presence.isAvailable(0)).isTrue();
+        }
+
+        /** Guards against the drain time of a present leave that ends when its own record is read. */
+        @Test
+        void keepsTheDrainTimeOfItsOwnLeave() {
+            presence.announced(announcement(1, 1, false), 0);
+            presence.left("i-1", 0, 0);
+            presence.leftEarlier(presence.leaves(), 100 * MS);
+
+            assertThat(presence.accepts(500 * MS)).isTrue();
+        }
+    }
+
     @Nested
     class Ordering {
         /** Guards against a heartbeat that was delayed and arrives after a newer one. */
--- a/node/src/main/java/org/siskintiller/node/LogEvent.java
+++ b/node/src/main/java/org/siskintiller/node/LogEvent.java
@@ -78,6 +78,11 @@
     BACKEND_LEAVING(1404, Level.INFO, "backend server is leaving; drain started", "none"),
     BACKEND_GRANT_FAILED(1405, Level.WARN, "grants not accepted", "check PUT /grants of the backend server"),
     BACKEND_LOAD_FAILED(1406, Level.DEBUG, "load not reported", "check GET /load of the backend server"),
+    LEAVE_NOT_STORED(
+            1407,
+            Level.WARN,
+            "leave of the backend server not stored in time",
+            "restore the store; if copied is false, the leave was not acknowledged"),
 
     LOG_UNAVAILABLE(
             1501, Level.WARN, "log service unavailable", "restore the log service; sessions and takeover continue"),
--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -17,6 +17,7 @@
 import org.siskintiller.core.admission.MovingMean;
 import org.siskintiller.core.admission.RemainingTimeCheck;
 import org.siskintiller.core.balance.BackendLoad;
+import org.siskintiller.core.path.BackendLeaves;
 import org.siskintiller.core.path.BackendPresence;
 import org.siskintiller.core.path.BackendPresence.Announcement;
 import org.siskintiller.core.path.RequestKind;
@@ -71,6 +72,7 @@
     private long sequence;
     private boolean sweepScheduled;
     private boolean dispatchScheduled;
+    private boolean isOpen;
     private boolean stopping;
     private long latestDeadlineNs = Long.MAX_VALUE;
 
@@ -136,19 +138,38 @@
     /** Processes the message that the backend server is leaving. */
     public void processLeave(String id, long nowNs) {
         boolean wasLeaving = presence.leaving();
-        presence.left(id, nowNs);
+        presence.left(id, nowNs, System.currentTimeMillis());
         if (presence.leaving() && !wasLeaving) {
             startLeaving();
         }
     }
 
+    /** Applies leaves that an earlier process of this companion acknowledged. */
+    public void processEarlierLeaves(BackendLeaves leaves) {
+        boolean wasLeaving = presence.leaving();
+        presence.leftEarlier(leaves, System.nanoTime());
+        if (presence.leaving() && !wasLeaving) {
+            startLeaving();
+        }
+    }
+
+    /**
+     * Opens the gate, which is closed at first: what earlier processes found out about the backend server is known now.
+     */
+    public void open() {
+        if (!isOpen) {
+            isOpen = true;
+            stateListener.run();
+        }
+    }
+
     /** Sends the requests that waited for a key that has been granted. */
     public void keysChanged() {
         dispatchQueued();
     }
 
     public boolean isAvailable(long nowNs) {
-        return presence.isAvailable(nowNs) && nowNs >= unreachableUntilNs;
+        return isOpen && presence.isAvailable(nowNs) && nowNs >= unreachableUntilNs;
     }
 
     public BackendLoad load() {
@@ -267,7 +288,7 @@
 
     /** Returns why the request cannot be sent to the backend server now, or null. */
     private RefusalReason refusalReason(ForwardedRequest request, boolean isQueued, long nowNs) {
-        if (!presence.known() || nowNs < unreachableUntilNs) {
+        if (!isOpen || !presence.known() || nowNs < unreachableUntilNs) {
             return RefusalReason.NO_BACKEND;
         }
         if (!presence.accepts(nowNs) || stopping && !isQueued) {
--- a/router/src/main/java/org/siskintiller/router/backend/HeartbeatHandler.java
+++ b/router/src/main/java/org/siskintiller/router/backend/HeartbeatHandler.java
@@ -17,6 +17,7 @@
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
+    private static final int UNAVAILABLE = 503;
 
     private final HeartbeatCodec codec;
     private final BackendGate gate;
@@ -41,7 +42,7 @@
         } else if (message.get() instanceof HeartbeatCodec.Leave leave) {
             gate.processLeave(leave.id(), nowNs);
             keyReports.backendLeft();
-            response.send(OK, List.of(), new byte[0]);
+            keyReports.keepLeave(isKept -> response.send(isKept ? OK : UNAVAILABLE, List.of(), new byte[0]));
         } else if (message.get() instanceof HeartbeatCodec.Malformed malformed) {
             EventLog.log(LogEvent.BACKEND_ANNOUNCEMENT_INVALID, "cause", malformed.detail());
             response.send(BAD_REQUEST, List.of(), new byte[0]);
@@ -55,7 +56,16 @@
             response.send(OK, JSON, codec.encode(HeartbeatResponse.RENEWS_NOTHING));
             return;
         }
-        keyReports.heartbeat(
-                heartbeat.keyReport(), heartbeatResponse -> response.send(OK, JSON, codec.encode(heartbeatResponse)));
+        boolean draining = heartbeat.announcement().draining();
+        keyReports.heartbeat(heartbeat.keyReport(), content -> respond(response, codec.encode(content), draining));
+    }
+
+    /** Responds at once, but for a leave, which a response acknowledges: it must outlast this process. */
+    private void respond(CallerResponse response, byte[] content, boolean draining) {
+        if (!draining) {
+            response.send(OK, JSON, content);
+            return;
+        }
+        keyReports.keepLeave(isKept -> response.send(isKept ? OK : UNAVAILABLE, JSON, content));
     }
 }
--- a/router/src/main/java/org/siskintiller/router/backend/KeyReports.java
+++ b/router/src/main/java/org/siskintiller/router/backend/KeyReports.java
@@ -12,4 +12,7 @@
 
     /** The backend server announced that it leaves. */
     void backendLeft();
+
+    /** Passes on whether later processes will know of the leave, as soon as they will. */
+    void keepLeave(Consumer<Boolean> result);
 }
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -10,7 +10,6 @@
 
 import io.netty.channel.EventLoop;
 import org.siskintiller.core.gate.Suspicion;
-import org.siskintiller.core.keyrange.KeyLoad;
 import org.siskintiller.core.keyrange.KeyRates;
 import org.siskintiller.core.keyrange.KeyTable;
 import org.siskintiller.core.lease.BackendHeartbeat;
@@ -18,6 +17,7 @@
 import org.siskintiller.core.lease.HolderReport;
 import org.siskintiller.core.lease.KeyHolder;
 import org.siskintiller.core.lease.LeaseTiming;
+import org.siskintiller.core.path.BackendLeaves;
 import org.siskintiller.core.path.BackendPresence;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
@@ -44,14 +44,8 @@
     private static final long TICK_INTERVAL_MS = 100;
     /** Interval at which the request rates of keys are computed. */
     private static final long RATES_INTERVAL_NS = 500_000_000L;
-    /** Maximum number of key buckets in a renewal. A hot set of 200 keys covers 51. */
-    private static final int MAX_REPORTED_BUCKETS = 96;
-    /** Minimum load of a reported bucket, as a share of the backend server's capacity: less does not justify a move. */
-    private static final double MIN_REPORTED_SHARE = 0.01;
     /** A companion whose last contact with the store is older receives records from this one. */
     private static final long STALE_STORE_CONTACT_MS = 1_000;
-    /** A larger change between the monotonic clock and the time of day means that the machine paused. */
-    private static final long CLOCK_JUMP_MS = 400;
     /** Delay before an append without a response is tried again. */
     static final long APPEND_RETRY_NS = 700_000_000L;
     /** The authority is responsive for this long after a message: two renewal intervals and the network delay. */
@@ -60,13 +54,14 @@
     static final long READ_WAIT_MS = 3_000;
     /** The last contact of the authority with the store is at most twice as old as this. */
     private static final long AUTHORITY_READ_WAIT_MS = 1_000;
-    /** Requests per second that one slot is assumed to serve while its service time is unknown. */
-    private static final double DEFAULT_REQUESTS_PER_SLOT_SECOND = 5;
 
     private final ControlSettings settings;
     private final String self;
     private final RecordAppender appender;
     private final AuthorityDriver authority;
+    private final LeaveKeeper leaves;
+    private final HolderReporter reporter;
+    private final PauseDetector pauses = new PauseDetector();
     private final EventLoop loop;
     private final ControlState state;
     private final PeerDirectory peers;
@@ -91,9 +86,11 @@
     private long lastStatusNs;
     private long lastRatesNs;
     private long lastMemberAppendNs = Long.MIN_VALUE / 2;
-    private long clockOffsetMs;
     private int reportedReleases;
     private boolean caughtUp;
+    /** Whether the newest records of all keys are known, from the store or from another companion. */
+    private boolean recordsKnown;
+
     private boolean stopping;
 
     public ControlDriver(
@@ -108,6 +105,8 @@
         this.self = settings.self().instance();
         this.appender = new RecordAppender(store);
         this.authority = new AuthorityDriver(settings, state, peers, appender);
+        this.leaves = new LeaveKeeper(self, state, peers, appender, backend, loop);
+        this.reporter = new HolderReporter(settings.self(), state, backend);
         this.loop = loop;
         this.state = state;
         this.peers = peers;
@@ -135,7 +134,6 @@
         config = newConfig;
         statusPublisher = newStatusPublisher;
         authority.start(feed, config);
-        clockOffsetMs = clockOffsetNowMs();
         crashes.onSuspicion(this::shareSuspicions);
         gate.onStateChange(this::publishStatus);
         config.start(this::publishStatus);
@@ -151,9 +149,9 @@
         publishStatus();
     }
 
-    /** Whether the control topic has been read once. */
+    /** Whether the newest records of the control topic are known. */
     public boolean ready() {
-        return caughtUp || !state.members().isEmpty();
+        return recordsKnown;
     }
 
     /** Processes the keys of a heartbeat and responds with the granted keys. */
@@ -183,6 +181,11 @@
         }
     }
 
+    @Override
+    public void keepLeave(Consumer<Boolean> result) {
+        leaves.keep(result);
+    }
+
     /** Tells the authority at once of ranges that the backend server has released. */
     private void reportReleases(long nowNs) {
         List<HolderReport.Released> released = holder.released();
@@ -211,6 +214,9 @@
             authorityChanged(record.offset());
         } else if (key.startsWith(ControlRecords.KEY_TABLE_PREFIX)) {
             tableChanged(key.substring(ControlRecords.KEY_TABLE_PREFIX.length()), record.offset());
+        } else if (key.startsWith(ControlRecords.LEAVES_PREFIX)) {
+            leaves.recordRead(key.substring(ControlRecords.LEAVES_PREFIX.length()), record.value());
+            backendLeft();
         }
         return true;
     }
@@ -308,7 +314,7 @@
         // A record that was passed on may have crossed this status, so only what was known at the last one counts.
         if (status.storeAgeMs() > STALE_STORE_CONTACT_MS && peers.suppliesUpdatesTo(client.instance())) {
             if (status.recordsEnd() < client.knownEnd()) {
-                client.shareRecords(state.records());
+                client.shareRecords(state.records(), recordsKnown);
             }
         }
         client.recordKnown(state.end());
@@ -317,6 +323,7 @@
     @Override
     public void connectionChanged(String instance, boolean connected) {
         router.backendsChanged();
+        peers.client(instance).filter(PeerClient::connected).ifPresent(leaves::companionConnected);
     }
 
     @Override
@@ -330,9 +337,29 @@
     }
 
     @Override
-    public void recordsReceived(List<StoredRecord> records) {
+    public void recordsReceived(List<StoredRecord> records, boolean complete) {
         records.forEach(this::apply);
         feed.recordsPassedOn();
+        if (complete) {
+            allRecordsKnown();
+        }
+    }
+
+    @Override
+    public void leavesReceived(String instance, BackendLeaves received) {
+        leaves.received(instance, received);
+        backendLeft();
+    }
+
+    @Override
+    public void leavesCopied(String instance, BackendLeaves copied) {
+        leaves.copied(instance, copied);
+    }
+
+    /** Lets requests pass: what earlier processes of this companion found out is known. */
+    private void allRecordsKnown() {
+        recordsKnown = true;
+        gate.open();
     }
 
     @Override
@@ -388,6 +415,7 @@
             feed.resumeIfNeeded();
             config.tick();
             if (caughtUp) {
+                leaves.tick(nowNs);
                 authority.tick(lastAuthorityMessageNs, authorityStoreAgeNs, nowNs);
             }
         } catch (RuntimeException e) {
@@ -397,21 +425,15 @@
 
     /** Drops the lease after a pause: a suspended machine stops the monotonic clock, but not the leases. */
     private void detectPause() {
-        long offsetMs = clockOffsetNowMs();
-        long differenceMs = Math.abs(offsetMs - clockOffsetMs);
-        clockOffsetMs = offsetMs;
-        if (differenceMs > CLOCK_JUMP_MS) {
-            EventLog.log(LogEvent.PAUSE_DETECTED, "difference_ms", differenceMs);
+        long jumpMs = pauses.jumpMs();
+        if (jumpMs > 0) {
+            EventLog.log(LogEvent.PAUSE_DETECTED, "difference_ms", jumpMs);
             holder.dropLease(System.nanoTime());
             renewalSendTimesNs.clear();
             renew(System.nanoTime());
         }
     }
 
-    private static long clockOffsetNowMs() {
-        return System.currentTimeMillis() - System.nanoTime() / 1_000_000;
-    }
-
     /** The authority needs a recent contact. It sends other companions the records that they lack. */
     private long readWaitMs() {
         return authority.active() ? AUTHORITY_READ_WAIT_MS : READ_WAIT_MS;
@@ -436,7 +458,8 @@
         renewalSequence++;
         renewalSendTimesNs.values().removeIf(sentNs -> nowNs - sentNs > LeaseTiming.LEASE_NS);
         renewalSendTimesNs.put(renewalSequence, nowNs);
-        HolderReport report = report(nowNs);
+        boolean keyed = authority.isKeyed(settings.self().service());
+        HolderReport report = reporter.report(keyed, stopping, nowNs);
         if (authority.active()) {
             leaseReplyReceived(self, authority.replyToRenewal(report, renewalSequence, nowNs));
             return;
@@ -445,24 +468,6 @@
         peers.client(claim.instance()).ifPresent(client -> client.sendRenewal(report, claim.term(), sequence));
     }
 
-    private HolderReport report(long nowNs) {
-        String service = settings.self().service();
-        double capacity = gate.load().slots()
-                * (gate.load().meanServiceUs() == 0
-                        ? DEFAULT_REQUESTS_PER_SLOT_SECOND
-                        : 1e6 / gate.load().meanServiceUs());
-        boolean keyed = authority.isKeyed(service);
-        return new HolderReport(
-                self,
-                service,
-                presence.known() ? presence.current().run() : 0,
-                keyed && !stopping && gate.isAvailable(nowNs),
-                capacity,
-                state.table(service).map(KeyTable::lastFence).orElse(0L),
-                holder.released(),
-                keyed ? keyRates.load(MAX_REPORTED_BUCKETS, MIN_REPORTED_SHARE * capacity) : KeyLoad.NONE);
-    }
-
     private boolean isAuthorityResponsive(long nowNs) {
         return authority.active() || nowNs - lastAuthorityMessageNs < AUTHORITY_TIMEOUT_NS;
     }
@@ -481,6 +486,7 @@
         @Override
         public void caughtUp() {
             caughtUp = true;
+            allRecordsKnown();
             EventLog.log(LogEvent.MEMBERS_READ, "members", state.members().size(), "end", state.end());
             register();
             changes.clear();
--- a/router/src/main/java/org/siskintiller/router/control/ControlRecords.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlRecords.java
@@ -10,6 +10,8 @@
 import org.siskintiller.core.keyrange.KeyTable;
 import org.siskintiller.core.model.Address;
 import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.path.BackendLeaves;
+import org.siskintiller.router.peer.LeavesCodec;
 import org.siskintiller.wire.companion.CompanionProto;
 
 /** Keys and contents of the records in the control topic. */
@@ -17,6 +19,7 @@
     static final String AUTHORITY_KEY = "authority";
     static final String MEMBER_PREFIX = "member/";
     static final String KEY_TABLE_PREFIX = "keys/";
+    static final String LEAVES_PREFIX = "leave/";
 
     private ControlRecords() {}
 
@@ -28,6 +31,10 @@
         return KEY_TABLE_PREFIX + service;
     }
 
+    static String leavesKey(String instance) {
+        return LEAVES_PREFIX + instance;
+    }
+
     static byte[] encode(Member member) {
         return CompanionProto.MemberRecord.newBuilder()
                 .setInstance(member.instance())
@@ -52,6 +59,24 @@
                 record.getService());
     }
 
+    static byte[] encode(String instance, BackendLeaves leaves) {
+        return LeavesCodec.encode(instance, leaves).toByteArray();
+    }
+
+    /** Decodes the leaves of the backend servers beside an instance. */
+    static BackendLeaves decodeLeaves(String instance, byte[] value) throws InvalidProtocolBufferException {
+        CompanionProto.BackendLeaves record = CompanionProto.BackendLeaves.parseFrom(value);
+        requireNames(instance, record.getInstance());
+        return LeavesCodec.decode(record);
+    }
+
+    /** Rejects a record whose content names another subject than its key. */
+    static void requireNames(String nameInKey, String nameInRecord) {
+        if (!nameInKey.equals(nameInRecord)) {
+            throw new IllegalArgumentException("the key names " + nameInKey + ", the record " + nameInRecord);
+        }
+    }
+
     static byte[] encode(AuthorityClaim claim) {
         return CompanionProto.AuthorityRecord.newBuilder()
                 .setInstance(claim.instance())
--- a/router/src/main/java/org/siskintiller/router/control/ControlState.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlState.java
@@ -9,6 +9,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.siskintiller.core.keyrange.KeyTable;
+import org.siskintiller.core.path.BackendLeaves;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.store.StoredRecord;
@@ -18,6 +19,7 @@
     private final Map<String, StoredRecord> newest = new HashMap<>();
     private final TreeMap<String, Member> members = new TreeMap<>();
     private final Map<String, KeyTable> tables = new HashMap<>();
+    private final Map<String, BackendLeaves> leaves = new HashMap<>();
     private AuthorityClaim authority = AuthorityClaim.NONE;
     private long end;
 
@@ -51,6 +53,15 @@
         return Optional.ofNullable(tables.get(service));
     }
 
+    /** Backend servers beside the instance that have left, from records and from other companions. */
+    BackendLeaves leaves(String instance) {
+        return leaves.getOrDefault(instance, BackendLeaves.NONE);
+    }
+
+    void addLeaves(String instance, BackendLeaves added) {
+        leaves.merge(instance, added, BackendLeaves::merge);
+    }
+
     /** Returns the newest record of a key, to send it to another companion. */
     public Optional<StoredRecord> record(String key) {
         return Optional.ofNullable(newest.get(key));
@@ -78,19 +89,16 @@
                 members.remove(instance);
             } else {
                 Member member = ControlRecords.decodeMember(record.value());
-                requireKeyNames(instance, member.instance());
+                ControlRecords.requireNames(instance, member.instance());
                 members.put(instance, member);
             }
         } else if (key.startsWith(ControlRecords.KEY_TABLE_PREFIX)) {
             KeyTable table = ControlRecords.decodeKeyTable(record.value());
-            requireKeyNames(key.substring(ControlRecords.KEY_TABLE_PREFIX.length()), table.service());
+            ControlRecords.requireNames(key.substring(ControlRecords.KEY_TABLE_PREFIX.length()), table.service());
             tables.put(table.service(), table);
-        }
-    }
-
-    private static void requireKeyNames(String nameInKey, String nameInRecord) {
-        if (!nameInKey.equals(nameInRecord)) {
-            throw new IllegalArgumentException("the key names " + nameInKey + ", the record " + nameInRecord);
+        } else if (key.startsWith(ControlRecords.LEAVES_PREFIX)) {
+            String instance = key.substring(ControlRecords.LEAVES_PREFIX.length());
+            addLeaves(instance, ControlRecords.decodeLeaves(instance, record.value()));
         }
     }
 }
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/control/HolderReporter.java
@@ -0,0 +1,51 @@
+package org.siskintiller.router.control;
+
+import org.siskintiller.core.balance.BackendLoad;
+import org.siskintiller.core.keyrange.KeyLoad;
+import org.siskintiller.core.keyrange.KeyTable;
+import org.siskintiller.core.lease.HolderReport;
+import org.siskintiller.router.backend.HeldKeys;
+
+/** Reports the state of the backend server of this machine to the lease authority. */
+final class HolderReporter {
+    /** Maximum number of key buckets in a renewal. A hot set of 200 keys covers 51. */
+    private static final int MAX_REPORTED_BUCKETS = 96;
+    /** Minimum load of a reported bucket, as a share of the backend server's capacity: less does not justify a move. */
+    private static final double MIN_REPORTED_SHARE = 0.01;
+    /** Requests per second that one slot is assumed to serve while its service time is unknown. */
+    private static final double DEFAULT_REQUESTS_PER_SLOT_SECOND = 5;
+
+    private final Member self;
+    private final ControlState state;
+    private final LocalBackend backend;
+
+    HolderReporter(Member self, ControlState state, LocalBackend backend) {
+        this.self = self;
+        this.state = state;
+        this.backend = backend;
+    }
+
+    /**
+     * Returns the report of a renewal.
+     *
+     * @param isKeyed whether requests of the service carry keys
+     */
+    HolderReport report(boolean isKeyed, boolean isStopping, long nowNs) {
+        double capacity = capacity(backend.gate().load());
+        HeldKeys keys = backend.keys();
+        return new HolderReport(
+                self.instance(),
+                self.service(),
+                backend.presence().known() ? backend.presence().current().run() : 0,
+                isKeyed && !isStopping && backend.gate().isAvailable(nowNs),
+                capacity,
+                state.table(self.service()).map(KeyTable::lastFence).orElse(0L),
+                keys.holder().released(),
+                isKeyed ? keys.rates().load(MAX_REPORTED_BUCKETS, MIN_REPORTED_SHARE * capacity) : KeyLoad.NONE);
+    }
+
+    private static double capacity(BackendLoad load) {
+        double perSlot = load.meanServiceUs() == 0 ? DEFAULT_REQUESTS_PER_SLOT_SECOND : 1e6 / load.meanServiceUs();
+        return load.slots() * perSlot;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/control/OwnRecord.java
@@ -0,0 +1,50 @@
+package org.siskintiller.router.control;
+
+import java.util.Arrays;
+import java.util.function.Supplier;
+
+import org.siskintiller.router.store.RecordStore;
+
+/**
+ * Record of the control topic that only the companion of one instance writes. It is appended whenever the store has another
+ * content, also when an earlier append takes effect late.
+ */
+final class OwnRecord {
+    private final String key;
+    private final Supplier<byte[]> content;
+    private final RecordAppender appender;
+    private byte[] stored = new byte[0];
+    private long lastAppendNs = Long.MIN_VALUE / 2;
+
+    OwnRecord(String key, Supplier<byte[]> content, RecordAppender appender) {
+        this.key = key;
+        this.content = content;
+        this.appender = appender;
+    }
+
+    /** Takes the content of a record that was read. */
+    void read(byte[] value) {
+        stored = value;
+    }
+
+    boolean isStored() {
+        return Arrays.equals(stored, content.get());
+    }
+
+    /**
+     * Appends the content if the store has another one.
+     *
+     * @param confirmed runs when the store has confirmed the append
+     */
+    void appendIfNeeded(long nowNs, Runnable confirmed) {
+        byte[] value = content.get();
+        if (Arrays.equals(stored, value) || nowNs - lastAppendNs < ControlDriver.APPEND_RETRY_NS) {
+            return;
+        }
+        lastAppendNs = nowNs;
+        appender.append(key, value, RecordStore.ANY_END, () -> {
+            stored = value;
+            confirmed.run();
+        });
+    }
+}
--- a/router/src/main/java/org/siskintiller/router/control/RecordAppender.java
+++ b/router/src/main/java/org/siskintiller/router/control/RecordAppender.java
@@ -6,7 +6,7 @@
 import org.siskintiller.router.store.StoreResult;
 import org.siskintiller.router.store.StoreTopic;
 
-/** Appends to the control topic. Results are only logged: a record takes effect when it is read back. */
+/** Appends to the control topic. A record takes effect when it is read back, whatever the result of its append. */
 final class RecordAppender {
     private final RecordStore store;
 
@@ -15,7 +15,21 @@
     }
 
     void append(String key, byte[] value, long expectedEnd) {
-        store.append(StoreTopic.CONTROL, expectedEnd, key, value, result -> handleResult(key, expectedEnd, result));
+        append(key, value, expectedEnd, () -> {});
+    }
+
+    /**
+     * Appends a record.
+     *
+     * @param stored runs when the store has confirmed the record
+     */
+    void append(String key, byte[] value, long expectedEnd, Runnable stored) {
+        store.append(StoreTopic.CONTROL, expectedEnd, key, value, result -> {
+            handleResult(key, expectedEnd, result);
+            if (result instanceof StoreResult.Success<Long>) {
+                stored.run();
+            }
+        });
     }
 
     private void handleResult(String key, long expectedEnd, StoreResult<Long> result) {
--- a/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
+++ b/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
@@ -65,7 +65,7 @@
     /** Passes records of the store on to the companions that this one supplies. */
     void passOn(List<StoredRecord> records) {
         if (!records.isEmpty()) {
-            suppliedClients().forEach(client -> client.shareRecords(records));
+            suppliedClients().forEach(client -> client.shareRecords(records, false));
         }
     }
 
--- a/router/src/main/java/org/siskintiller/router/peer/Frames.java
+++ b/router/src/main/java/org/siskintiller/router/peer/Frames.java
@@ -16,6 +16,7 @@
 import org.siskintiller.core.keyrange.KeyRange;
 import org.siskintiller.core.lease.HolderReport;
 import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.path.BackendLeaves;
 import org.siskintiller.core.path.RequestKind;
 import org.siskintiller.router.request.ForwardedRequest;
 import org.siskintiller.router.request.Header;
@@ -245,14 +246,21 @@
                 reply.getTerm(), reply.getSequence(), reply.getLeaseMs(), release, records(reply.getRecordsList()));
     }
 
-    static Frame sharedRecords(List<StoredRecord> records) {
-        CompanionProto.SharedRecords.Builder builder = CompanionProto.SharedRecords.newBuilder();
+    static Frame sharedRecords(List<StoredRecord> records, boolean complete) {
+        CompanionProto.SharedRecords.Builder builder =
+                CompanionProto.SharedRecords.newBuilder().setComplete(complete);
         for (StoredRecord record : records) {
             builder.addRecords(record(record));
         }
         return Frame.newBuilder().setSharedRecords(builder).build();
     }
 
+    static Frame leaves(String instance, BackendLeaves leaves) {
+        return Frame.newBuilder()
+                .setBackendLeaves(LeavesCodec.encode(instance, leaves))
+                .build();
+    }
+
     static List<StoredRecord> records(List<CompanionProto.SharedRecord> shared) {
         List<StoredRecord> records = new ArrayList<>();
         for (CompanionProto.SharedRecord record : shared) {
--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -21,6 +21,7 @@
 import org.siskintiller.core.gate.Suspicion;
 import org.siskintiller.core.lease.HolderReport;
 import org.siskintiller.core.model.Address;
+import org.siskintiller.core.path.BackendLeaves;
 import org.siskintiller.core.retry.GrowingTimeout;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
@@ -241,8 +242,18 @@
                 .build());
     }
 
-    public void shareRecords(List<StoredRecord> records) {
-        write(Frames.sharedRecords(records));
+    /**
+     * Sends records of the control topic.
+     *
+     * @param complete whether they are the newest of all keys
+     */
+    public void shareRecords(List<StoredRecord> records, boolean complete) {
+        write(Frames.sharedRecords(records, complete));
+    }
+
+    /** Sends the leaves of the backend servers beside an instance. The companion confirms them. */
+    public void shareLeaves(String ofInstance, BackendLeaves leaves) {
+        write(Frames.leaves(ofInstance, leaves));
     }
 
     public void shareSuspicion(Suspicion suspicion) {
@@ -327,6 +338,9 @@
                 Frames.configUpdate(config)
                         .ifPresent(update -> events.configReceived(update, config.getRelayToList(), instance));
             }
+            case BACKEND_LEAVES ->
+                events.leavesCopied(
+                        frame.getBackendLeaves().getInstance(), LeavesCodec.decode(frame.getBackendLeaves()));
             case LEASE_REPLY -> events.leaseReplyReceived(instance, Frames.leaseReply(frame.getLeaseReply()));
             case RESIGNATION -> {
                 if (frame.getResignation().getAcknowledged()) {
--- a/router/src/main/java/org/siskintiller/router/peer/PeerEvents.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerEvents.java
@@ -5,6 +5,7 @@
 
 import org.siskintiller.core.gate.Suspicion;
 import org.siskintiller.core.lease.HolderReport;
+import org.siskintiller.core.path.BackendLeaves;
 import org.siskintiller.router.store.StoredRecord;
 
 /** Receives what companions send to each other besides requests. */
@@ -34,7 +35,18 @@
     /** Returns an update for a companion with the given version, or nothing if this one has no newer version. */
     Optional<ConfigUpdate> configRequested(long version);
 
-    void recordsReceived(List<StoredRecord> records);
+    /**
+     * A companion sent records of the control topic.
+     *
+     * @param complete whether they are the newest of all keys
+     */
+    void recordsReceived(List<StoredRecord> records, boolean complete);
+
+    /** A companion sent leaves of backend servers beside an instance, which the store may not have yet. */
+    void leavesReceived(String instance, BackendLeaves leaves);
+
+    /** A companion has a copy of the leaves that were sent to it. */
+    void leavesCopied(String instance, BackendLeaves leaves);
 
     void suspicionsReceived(List<Suspicion> suspicions);
 
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -144,7 +144,14 @@
                             .ifPresent(update -> channel.writeAndFlush(Frames.sharedConfig(update, List.of())));
                 case SHARED_RECORDS ->
                     events.recordsReceived(
-                            Frames.records(frame.getSharedRecords().getRecordsList()));
+                            Frames.records(frame.getSharedRecords().getRecordsList()),
+                            frame.getSharedRecords().getComplete());
+                case BACKEND_LEAVES -> {
+                    CompanionProto.BackendLeaves leaves = frame.getBackendLeaves();
+                    events.leavesReceived(leaves.getInstance(), LeavesCodec.decode(leaves));
+                    // The same frame confirms the copy.
+                    channel.writeAndFlush(frame);
+                }
                 case SUSPICIONS -> events.suspicionsReceived(Frames.suspicions(frame.getSuspicions()));
                 case RESIGNATION -> {
                     if (events.resignationRequested(frame.getResignation().getTerm())) {
--- a/router/src/test/java/org/siskintiller/router/backend/BackendGateTest.java
+++ b/router/src/test/java/org/siskintiller/router/backend/BackendGateTest.java
@@ -90,6 +90,7 @@
         HeldKeys keys = new HeldKeys(new KeyHolder(10_000, System.nanoTime()), new KeyRates());
         BackendPool pool = new BackendPool(server.address(), loop, NAMES, metrics);
         BackendGate gate = new BackendGate(loop, lag, pool, presence, keys, new CrashDetector(), metrics);
+        loop.submit(gate::open).get();
         loop.submit(() -> gate.processAnnouncement(
                         new BackendPresence.Announcement("instance", 1, 1, "service", 1, false, 0), System.nanoTime()))
                 .get();
--- a/router/src/test/java/org/siskintiller/router/peer/PeerClientTest.java
+++ b/router/src/test/java/org/siskintiller/router/peer/PeerClientTest.java
@@ -23,6 +23,7 @@
 import org.siskintiller.core.gate.Suspicion;
 import org.siskintiller.core.lease.HolderReport;
 import org.siskintiller.core.model.Address;
+import org.siskintiller.core.path.BackendLeaves;
 import org.siskintiller.core.path.RequestKind;
 import org.siskintiller.router.request.Destination;
 import org.siskintiller.router.request.ForwardedRequest;
@@ -186,7 +187,13 @@
         }
 
         @Override
-        public void recordsReceived(List<StoredRecord> records) {}
+        public void recordsReceived(List<StoredRecord> records, boolean complete) {}
+
+        @Override
+        public void leavesReceived(String instance, BackendLeaves leaves) {}
+
+        @Override
+        public void leavesCopied(String instance, BackendLeaves leaves) {}
 
         @Override
         public void suspicionsReceived(List<Suspicion> suspicions) {}
