Record the losses that make a request suspect of crashing backend servers

Cause: suspicions were sent once, to the companions that were connected, and kept in memory. A companion that started later knew none, and the gate beside the backend server alone decides. Change: a companion records the losses of runs beside it under suspicions/INSTANCE. All read them before their gate opens. A response that clears a suspicion clears it at all companions and in the record. A companion that connects is told the losses that are in no record; those whose finder ended first are recorded by the first companion by name. Why it works: losses and clearings only grow, so that they merge in any order, and a process that does not know them runs nothing. Cost: one append for each crash and one when its suspicions are cleared; a frame of some 20 bytes for each cleared suspicion.

--- a/core/src/main/java/org/siskintiller/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/siskintiller/core/quarantine/Quarantine.java
@@ -38,14 +38,17 @@
             cleared.remove(lostAt);
             entries.put(fingerprint, new Entry(entry.lostAt, Set.copyOf(cleared), entry.changedNs));
         }
-        add(fingerprint, Set.of(lostAt), nowNs);
+        add(new Suspicion(fingerprint, Set.of(lostAt)), nowNs);
     }
 
-    /** Records a response to the request, which shows that the losses so far had another cause. */
-    public void recordResponse(long fingerprint, long nowNs) {
+    /**
+     * Records a response to the request, which shows that the losses so far had another cause. Returns what it has cleared, to
+     * be sent to other companions.
+     */
+    public Optional<Suspicion> recordResponse(long fingerprint, long nowNs) {
         Entry entry = unexpiredEntry(fingerprint, nowNs);
         if (entry == null || entry.lostAt.isEmpty()) {
-            return;
+            return Optional.empty();
         }
         Set<Incarnation> cleared = new HashSet<>(entry.lostAt);
         for (Incarnation earlier : entry.cleared) {
@@ -55,12 +58,13 @@
         }
         entries.remove(fingerprint);
         entries.put(fingerprint, new Entry(Set.of(), Set.copyOf(cleared), nowNs));
+        return Optional.of(new Suspicion(fingerprint, Set.of(), entry.lostAt));
     }
 
     /** Merges suspicions of other companions. A suspicion that is already known does not extend its lifetime. */
     public void addSuspicions(List<Suspicion> suspicions, long nowNs) {
         for (Suspicion suspicion : suspicions) {
-            add(suspicion.fingerprint(), suspicion.lostAt(), nowNs);
+            add(suspicion, nowNs);
         }
     }
 
@@ -83,6 +87,13 @@
                 : Optional.of(new Suspicion(fingerprint, entry.lostAt));
     }
 
+    /** All suspicions, for a companion that knows none. */
+    public List<Suspicion> suspicions(long nowNs) {
+        List<Suspicion> suspicions = new ArrayList<>();
+        entries.keySet().forEach(fingerprint -> suspicion(fingerprint, nowNs).ifPresent(suspicions::add));
+        return suspicions;
+    }
+
     /** Suspicions of the refused fingerprints, to be sent to other companions. */
     public List<Suspicion> refused(long nowNs) {
         List<Suspicion> refused = new ArrayList<>();
@@ -98,26 +109,31 @@
         return entries.size();
     }
 
-    private void add(long fingerprint, Set<Incarnation> lostAt, long nowNs) {
-        if (lostAt.isEmpty()) {
-            return;
-        }
+    private void add(Suspicion suspicion, long nowNs) {
+        long fingerprint = suspicion.fingerprint();
         Entry entry = unexpiredEntry(fingerprint, nowNs);
-        Set<Incarnation> merged = new HashSet<>(entry == null ? Set.of() : entry.lostAt);
-        Set<Incarnation> cleared = entry == null ? Set.of() : entry.cleared;
-        for (Incarnation incarnation : lostAt) {
-            if (merged.size() < MAX_LOSSES_PER_REQUEST && !cleared.contains(incarnation)) {
-                merged.add(incarnation);
-            }
-        }
-        if (merged.size() == (entry == null ? 0 : entry.lostAt.size())) {
+        Entry known = entry == null ? Entry.EMPTY : entry;
+        Set<Incarnation> cleared = union(known.cleared, suspicion.cleared());
+        Set<Incarnation> lostAt = new HashSet<>(union(known.lostAt, suspicion.lostAt()));
+        lostAt.removeAll(cleared);
+        if (lostAt.equals(known.lostAt) && cleared.equals(known.cleared)) {
             return;
         }
         entries.remove(fingerprint);
-        entries.put(fingerprint, new Entry(Set.copyOf(merged), cleared, nowNs));
+        entries.put(fingerprint, new Entry(Set.copyOf(lostAt), cleared, nowNs));
         removeExpired(nowNs);
     }
 
+    private static Set<Incarnation> union(Set<Incarnation> known, Set<Incarnation> added) {
+        Set<Incarnation> union = new HashSet<>(known);
+        for (Incarnation incarnation : added) {
+            if (union.size() < MAX_LOSSES_PER_REQUEST) {
+                union.add(incarnation);
+            }
+        }
+        return Set.copyOf(union);
+    }
+
     private Entry unexpiredEntry(long fingerprint, long nowNs) {
         Entry entry = entries.get(fingerprint);
         return entry != null && nowNs - entry.changedNs <= SUSPICION_LIFETIME_NS ? entry : null;
@@ -135,5 +151,7 @@
     }
 
     /** Losses that coincided with one fingerprint, and losses that were cleared by a later response. */
-    private record Entry(Set<Incarnation> lostAt, Set<Incarnation> cleared, long changedNs) {}
+    private record Entry(Set<Incarnation> lostAt, Set<Incarnation> cleared, long changedNs) {
+        private static final Entry EMPTY = new Entry(Set.of(), Set.of(), 0);
+    }
 }
--- a/core/src/test/java/org/siskintiller/core/quarantine/QuarantineTest.java
+++ b/core/src/test/java/org/siskintiller/core/quarantine/QuarantineTest.java
@@ -41,6 +41,22 @@
         assertThat(quarantine.isRefused(7, 6)).isTrue();
     }
 
+    /** Guards against a loss that one companion has cleared and others hold against the request. */
+    @Test
+    void clearsWhatAnotherCompanionHasCleared() {
+        Quarantine other = new Quarantine();
+        quarantine.recordLoss(7, A, 0);
+        other.addSuspicions(List.of(new Suspicion(7, Set.of(A))), 0);
+        Suspicion cleared = other.recordResponse(7, 1).orElseThrow();
+
+        quarantine.addSuspicions(List.of(cleared), 2);
+        assertThat(quarantine.isSuspected(7, 2)).isFalse();
+
+        quarantine.addSuspicions(List.of(new Suspicion(7, Set.of(A, B))), 3);
+        assertThat(quarantine.isRefused(7, 3)).isFalse();
+        assertThat(quarantine.suspicions(3)).containsExactly(new Suspicion(7, Set.of(B)));
+    }
+
     /** Guards against suspicions that grow without bound or never expire. */
     @Test
     void isBounded() {
--- a/router/src/main/java/org/siskintiller/router/backend/CrashDetector.java
+++ b/router/src/main/java/org/siskintiller/router/backend/CrashDetector.java
@@ -4,11 +4,14 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import org.siskintiller.core.gate.Suspicion;
 import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.quarantine.OwnLosses;
 import org.siskintiller.core.quarantine.Quarantine;
+import org.siskintiller.core.quarantine.RecordedLoss;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
 
@@ -25,9 +28,11 @@
     private static final int MAX_LOSSES = 64;
 
     private final Quarantine quarantine = new Quarantine();
+    private final OwnLosses ownLosses = new OwnLosses();
     private final Deque<Loss> losses = new ArrayDeque<>();
     private Consumer<List<Suspicion>> publisher = suspicions -> {};
 
+    /** Registers what to do with new suspicions and with those that a response has cleared. */
     public void onSuspicion(Consumer<List<Suspicion>> action) {
         publisher = action;
     }
@@ -50,13 +55,45 @@
 
     void responseReceived(long fingerprint, long nowNs) {
         losses.removeIf(loss -> loss.fingerprint == fingerprint);
-        quarantine.recordResponse(fingerprint, nowNs);
+        quarantine.recordResponse(fingerprint, nowNs).ifPresent(cleared -> publisher.accept(List.of(cleared)));
     }
 
     public void suspicionsReceived(List<Suspicion> suspicions) {
         quarantine.addSuspicions(suspicions, System.nanoTime());
     }
 
+    /**
+     * Applies losses that a companion has recorded.
+     *
+     * @param isOwn whether an earlier process of this companion recorded them
+     */
+    public void lossesRead(List<RecordedLoss> recorded, boolean isOwn, long timeOfDayMs) {
+        for (RecordedLoss loss : recorded) {
+            if (OwnLosses.isExpired(loss, timeOfDayMs)) {
+                continue;
+            }
+            suspicionsReceived(List.of(new Suspicion(loss.fingerprint(), loss.lostAt())));
+            if (isOwn) {
+                ownLosses.add(loss);
+            }
+        }
+    }
+
+    /** Losses that this companion found and no response has cleared, to be recorded. */
+    public List<RecordedLoss> ownLosses(long timeOfDayMs) {
+        return ownLosses.suspected(quarantine, System.nanoTime(), timeOfDayMs);
+    }
+
+    /** Records losses that another companion found as if they had been found here. */
+    public void adopt(Suspicion suspicion, long timeOfDayMs) {
+        ownLosses.add(new RecordedLoss(suspicion.fingerprint(), suspicion.lostAt(), timeOfDayMs));
+    }
+
+    /** All suspicions, for a companion that cannot read the records. */
+    public List<Suspicion> suspicions() {
+        return quarantine.suspicions(System.nanoTime());
+    }
+
     public boolean isRefused(long fingerprint, long nowNs) {
         return quarantine.isRefused(fingerprint, nowNs);
     }
@@ -67,7 +104,9 @@
             if (nowNs - loss.atNs > windowNs) {
                 continue;
             }
-            quarantine.recordLoss(loss.fingerprint, new Incarnation(loss.run), nowNs);
+            Incarnation run = new Incarnation(loss.run);
+            quarantine.recordLoss(loss.fingerprint, run, nowNs);
+            ownLosses.add(new RecordedLoss(loss.fingerprint, Set.of(run), System.currentTimeMillis()));
             quarantine.suspicion(loss.fingerprint, nowNs).ifPresent(suspicions::add);
             EventLog.log(LogEvent.CRASH_SUSPECTED, "fingerprint", Long.toHexString(loss.fingerprint));
         }
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -22,7 +22,6 @@
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.backend.BackendGate;
-import org.siskintiller.router.backend.CrashDetector;
 import org.siskintiller.router.backend.KeyReports;
 import org.siskintiller.router.peer.ConfigUpdate;
 import org.siskintiller.router.peer.FleetIntervals;
@@ -59,7 +58,7 @@
     private final String self;
     private final RecordAppender appender;
     private final AuthorityDriver authority;
-    private final LeaveKeeper leaves;
+    private final Findings findings;
     private final HolderReporter reporter;
     private final PauseDetector pauses = new PauseDetector();
     private final EventLoop loop;
@@ -68,7 +67,6 @@
     private final FleetIntervals intervals;
     private final BackendGate gate;
     private final BackendPresence presence;
-    private final CrashDetector crashes;
     private final KeyHolder holder;
     private final KeyRates keyRates;
     private final GrantDelivery delivery;
@@ -105,7 +103,7 @@
         this.self = settings.self().instance();
         this.appender = new RecordAppender(store);
         this.authority = new AuthorityDriver(settings, state, peers, appender);
-        this.leaves = new LeaveKeeper(self, state, peers, appender, backend, loop);
+        this.findings = new Findings(self, state, peers, appender, backend, loop);
         this.reporter = new HolderReporter(settings.self(), state, backend);
         this.loop = loop;
         this.state = state;
@@ -113,7 +111,6 @@
         this.intervals = peers.intervals();
         this.gate = backend.gate();
         this.presence = backend.presence();
-        this.crashes = backend.crashes();
         this.holder = backend.keys().holder();
         this.keyRates = backend.keys().rates();
         this.delivery = backend.delivery();
@@ -134,7 +131,6 @@
         config = newConfig;
         statusPublisher = newStatusPublisher;
         authority.start(feed, config);
-        crashes.onSuspicion(this::shareSuspicions);
         gate.onStateChange(this::publishStatus);
         config.start(this::publishStatus);
         feed.start();
@@ -183,7 +179,7 @@
 
     @Override
     public void keepLeave(Consumer<Boolean> result) {
-        leaves.keep(result);
+        findings.leaves().keep(result);
     }
 
     /** Tells the authority at once of ranges that the backend server has released. */
@@ -214,8 +210,8 @@
             authorityChanged(record.offset());
         } else if (key.startsWith(ControlRecords.KEY_TABLE_PREFIX)) {
             tableChanged(key.substring(ControlRecords.KEY_TABLE_PREFIX.length()), record.offset());
-        } else if (key.startsWith(ControlRecords.LEAVES_PREFIX)) {
-            leaves.recordRead(key.substring(ControlRecords.LEAVES_PREFIX.length()), record.value());
+        } else {
+            findings.recordRead(record);
             backendLeft();
         }
         return true;
@@ -323,7 +319,7 @@
     @Override
     public void connectionChanged(String instance, boolean connected) {
         router.backendsChanged();
-        peers.client(instance).filter(PeerClient::connected).ifPresent(leaves::companionConnected);
+        peers.client(instance).filter(PeerClient::connected).ifPresent(findings::companionConnected);
     }
 
     @Override
@@ -347,13 +343,13 @@
 
     @Override
     public void leavesReceived(String instance, BackendLeaves received) {
-        leaves.received(instance, received);
+        findings.leaves().received(instance, received);
         backendLeft();
     }
 
     @Override
     public void leavesCopied(String instance, BackendLeaves copied) {
-        leaves.copied(instance, copied);
+        findings.leaves().copied(instance, copied);
     }
 
     /** Lets requests pass: what earlier processes of this companion found out is known. */
@@ -363,8 +359,8 @@
     }
 
     @Override
-    public void suspicionsReceived(List<Suspicion> suspicions) {
-        crashes.suspicionsReceived(suspicions);
+    public void suspicionsReceived(List<Suspicion> received) {
+        findings.suspicions().received(received);
     }
 
     @Override
@@ -377,12 +373,6 @@
         authority.resignationAcknowledged(instance, term);
     }
 
-    private void shareSuspicions(List<Suspicion> suspicions) {
-        for (PeerClient peer : peers.clients()) {
-            suspicions.forEach(peer::shareSuspicion);
-        }
-    }
-
     private void publishStatus() {
         lastStatusNs = System.nanoTime();
         statusPublisher.run();
@@ -415,7 +405,7 @@
             feed.resumeIfNeeded();
             config.tick();
             if (caughtUp) {
-                leaves.tick(nowNs);
+                findings.tick(nowNs);
                 authority.tick(lastAuthorityMessageNs, authorityStoreAgeNs, nowNs);
             }
         } catch (RuntimeException e) {
--- a/router/src/main/java/org/siskintiller/router/control/ControlRecords.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlRecords.java
@@ -1,7 +1,9 @@
 package org.siskintiller.router.control;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.util.NetUtil;
@@ -11,6 +13,7 @@
 import org.siskintiller.core.model.Address;
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.path.BackendLeaves;
+import org.siskintiller.core.quarantine.RecordedLoss;
 import org.siskintiller.router.peer.LeavesCodec;
 import org.siskintiller.wire.companion.CompanionProto;
 
@@ -20,6 +23,7 @@
     static final String MEMBER_PREFIX = "member/";
     static final String KEY_TABLE_PREFIX = "keys/";
     static final String LEAVES_PREFIX = "leave/";
+    static final String LOSSES_PREFIX = "suspicions/";
 
     private ControlRecords() {}
 
@@ -31,6 +35,10 @@
         return KEY_TABLE_PREFIX + service;
     }
 
+    static String lossesKey(String instance) {
+        return LOSSES_PREFIX + instance;
+    }
+
     static String leavesKey(String instance) {
         return LEAVES_PREFIX + instance;
     }
@@ -70,6 +78,35 @@
         return LeavesCodec.decode(record);
     }
 
+    static byte[] encode(String instance, List<RecordedLoss> losses) {
+        CompanionProto.LossesRecord.Builder builder =
+                CompanionProto.LossesRecord.newBuilder().setInstance(instance);
+        for (RecordedLoss loss : losses) {
+            CompanionProto.Loss.Builder encoded = builder.addLossesBuilder()
+                    .setFingerprint(loss.fingerprint())
+                    .setFoundAtMs(loss.foundAtMs());
+            // The order of a set differs between processes.
+            loss.lostAt().stream().map(Incarnation::id).sorted().forEach(encoded::addLostAt);
+        }
+        return builder.build().toByteArray();
+    }
+
+    /** Decodes losses of the runs beside an instance. A record without a value has none. */
+    static List<RecordedLoss> decodeLosses(String instance, byte[] value) throws InvalidProtocolBufferException {
+        if (value.length == 0) {
+            return List.of();
+        }
+        CompanionProto.LossesRecord record = CompanionProto.LossesRecord.parseFrom(value);
+        requireNames(instance, record.getInstance());
+        List<RecordedLoss> losses = new ArrayList<>();
+        for (CompanionProto.Loss loss : record.getLossesList()) {
+            Set<Incarnation> lostAt = new HashSet<>();
+            loss.getLostAtList().forEach(id -> lostAt.add(new Incarnation(id)));
+            losses.add(new RecordedLoss(loss.getFingerprint(), lostAt, loss.getFoundAtMs()));
+        }
+        return losses;
+    }
+
     /** Rejects a record whose content names another subject than its key. */
     static void requireNames(String nameInKey, String nameInRecord) {
         if (!nameInKey.equals(nameInRecord)) {
--- a/router/src/main/java/org/siskintiller/router/control/ControlState.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlState.java
@@ -2,14 +2,18 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.siskintiller.core.keyrange.KeyTable;
+import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.path.BackendLeaves;
+import org.siskintiller.core.quarantine.RecordedLoss;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.store.StoredRecord;
@@ -19,6 +23,7 @@
     private final Map<String, StoredRecord> newest = new HashMap<>();
     private final TreeMap<String, Member> members = new TreeMap<>();
     private final Map<String, KeyTable> tables = new HashMap<>();
+    private final Map<String, List<RecordedLoss>> losses = new HashMap<>();
     private final Map<String, BackendLeaves> leaves = new HashMap<>();
     private AuthorityClaim authority = AuthorityClaim.NONE;
     private long end;
@@ -53,6 +58,22 @@
         return Optional.ofNullable(tables.get(service));
     }
 
+    /** Losses of runs beside the instance, as its companion has recorded them. */
+    List<RecordedLoss> losses(String instance) {
+        return losses.getOrDefault(instance, List.of());
+    }
+
+    /** Runs that were lost while they ran the request, by the records of all companions. */
+    Set<Incarnation> recordedLosses(long fingerprint) {
+        Set<Incarnation> recorded = new HashSet<>();
+        for (List<RecordedLoss> ofInstance : losses.values()) {
+            ofInstance.stream()
+                    .filter(loss -> loss.fingerprint() == fingerprint)
+                    .forEach(loss -> recorded.addAll(loss.lostAt()));
+        }
+        return recorded;
+    }
+
     /** Backend servers beside the instance that have left, from records and from other companions. */
     BackendLeaves leaves(String instance) {
         return leaves.getOrDefault(instance, BackendLeaves.NONE);
@@ -99,6 +120,9 @@
         } else if (key.startsWith(ControlRecords.LEAVES_PREFIX)) {
             String instance = key.substring(ControlRecords.LEAVES_PREFIX.length());
             addLeaves(instance, ControlRecords.decodeLeaves(instance, record.value()));
+        } else if (key.startsWith(ControlRecords.LOSSES_PREFIX)) {
+            String instance = key.substring(ControlRecords.LOSSES_PREFIX.length());
+            losses.put(instance, ControlRecords.decodeLosses(instance, record.value()));
         }
     }
 }
--- a/router/src/main/java/org/siskintiller/router/peer/Frames.java
+++ b/router/src/main/java/org/siskintiller/router/peer/Frames.java
@@ -272,20 +272,25 @@
     static Frame suspicions(Suspicion suspicion) {
         CompanionProto.Suspicions.Builder builder = CompanionProto.Suspicions.newBuilder();
         builder.addFingerprints(suspicion.fingerprint());
-        for (Incarnation incarnation : suspicion.lostAt()) {
-            builder.addLostAt(incarnation.id());
-        }
+        suspicion.lostAt().forEach(run -> builder.addLostAt(run.id()));
+        suspicion.cleared().forEach(run -> builder.addCleared(run.id()));
         return Frame.newBuilder().setSuspicions(builder).build();
     }
 
     static List<Suspicion> suspicions(CompanionProto.Suspicions frame) {
-        Set<Incarnation> lostAt = new HashSet<>();
-        frame.getLostAtList().forEach(id -> lostAt.add(new Incarnation(id)));
+        Set<Incarnation> lostAt = incarnations(frame.getLostAtList());
+        Set<Incarnation> cleared = incarnations(frame.getClearedList());
         List<Suspicion> suspicions = new ArrayList<>();
-        frame.getFingerprintsList().forEach(fingerprint -> suspicions.add(new Suspicion(fingerprint, lostAt)));
+        frame.getFingerprintsList().forEach(fingerprint -> suspicions.add(new Suspicion(fingerprint, lostAt, cleared)));
         return suspicions;
     }
 
+    private static Set<Incarnation> incarnations(List<Long> ids) {
+        Set<Incarnation> incarnations = new HashSet<>();
+        ids.forEach(id -> incarnations.add(new Incarnation(id)));
+        return incarnations;
+    }
+
     private static CompanionProto.SharedRecord record(StoredRecord record) {
         return CompanionProto.SharedRecord.newBuilder()
                 .setKey(record.key())
