--- a/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
+++ b/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
@@ -186,8 +186,8 @@
     }
 
     private void received(RecordBatch batch, long sentNs) {
+        storeReached(sentNs);
         lastContactNs = Math.max(lastContactNs, sentNs);
-        storeReached();
         boolean isFirst = !hasPosition;
         // Two reads may deliver the same records.
         long knownEnd = isFirst ? 0 : nextOffset;
@@ -221,17 +221,24 @@
         }
     }
 
-    private void storeReached() {
+    private void storeReached(long sentNs) {
         retryDelayMs = MIN_RETRY_DELAY_MS;
         if (!reachable) {
+            long nowNs = System.nanoTime();
             EventLog.log(
                     LogEvent.LOG_AVAILABLE,
                     "topic",
                     topic,
+                    "call",
+                    callName(),
                     "first",
                     !hasCompletedCall,
                     "failures",
-                    failuresInSuccession);
+                    failuresInSuccession,
+                    "took_ms",
+                    TimeUnit.NANOSECONDS.toMillis(nowNs - sentNs),
+                    "contact_age_ms",
+                    TimeUnit.NANOSECONDS.toMillis(nowNs - lastContactNs));
         }
         failuresInSuccession = 0;
         behindSinceNs = 0;
@@ -249,12 +256,16 @@
                     LogEvent.LOG_UNAVAILABLE,
                     "topic",
                     topic,
+                    "call",
+                    callName(),
                     "position",
                     nextOffset,
                     "failures",
                     failuresInSuccession,
                     "took_ms",
                     TimeUnit.NANOSECONDS.toMillis(nowNs - sentNs),
+                    "contact_age_ms",
+                    TimeUnit.NANOSECONDS.toMillis(nowNs - lastContactNs),
                     "cause",
                     cause);
         }
@@ -262,6 +273,11 @@
         hasCompletedCall = true;
     }
 
+    /** Call by which the feed continues: the newest records of all keys first, then the records from its position on. */
+    private String callName() {
+        return hasPosition ? "read" : "newest";
+    }
+
     /** Receives the records of a topic in order. A record may be delivered again after records have expired. */
     public interface FeedListener {
         void record(StoredRecord record);
