Notice the end of a silence of the store independently of the calls that were sent into it

Cause: the only read of a topic waits 3 s for records and 1.2 s more for its response. One that is sent shortly before a silent store serves again is lost, and the next one follows 4.2 s later; a record completes the reads of all companions at once, so that all lose theirs together. Processes that start in the silence wait for calls whose timeout doubles up to 7.2 s, shared by all calls. Change: ReadSchedule decides without input or output. A read that is overdue by 0.5 s, or by twice the delay of the last response, is followed by reads that wait for nothing, every 0.2 to 0.8 s, whatever is pending; one at a time has a long timeout for slow paths. Waits are spread by a third around the same mean, retries by a quarter. A topic that is within reach again makes the other verify its contact. Idle connections are closed when a read is overdue. Companions that do not read for others retry less often in a large fleet. ReadWaitTest checks the longest wait in place of the mean.

--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -46,6 +46,7 @@
 import org.siskintiller.router.request.HeaderNames;
 import org.siskintiller.router.request.RequestRouter;
 import org.siskintiller.router.store.RecordStore;
+import org.siskintiller.router.store.StoreFeeds;
 
 /** Companion process of the router: creates its parts, starts them and stops them gracefully. */
 public final class Companion {
@@ -103,11 +104,12 @@
                 settings.instance(), settings.failureDomain(), settings.service(), loop, state, gate, intervals);
         this.router = new RequestRouter(loop, lag, names, settings.router(), peers, gate::runs, metrics);
         StoreSupply supply = new StoreSupply(self, state, peers, metrics);
-        this.config = new ConfigFeed(store, loop, supply, peers, configDecoder, router, metrics);
+        StoreFeeds feeds = new StoreFeeds(store, loop);
+        this.config = new ConfigFeed(feeds, supply, peers, configDecoder, router, metrics);
         router.setConfigDelay(config::behindMs);
         this.control = new ControlDriver(
                 new ControlSettings(self, new Incarnation(new SecureRandom().nextLong())),
-                store,
+                feeds,
                 loop,
                 state,
                 peers,
--- a/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
+++ b/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
@@ -10,7 +10,6 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
-import io.netty.channel.EventLoop;
 import org.siskintiller.core.path.RouteTable;
 import org.siskintiller.core.spread.Patience;
 import org.siskintiller.node.EventLog;
@@ -19,7 +18,7 @@
 import org.siskintiller.router.peer.PeerClient;
 import org.siskintiller.router.peer.PeerStatus;
 import org.siskintiller.router.request.RequestRouter;
-import org.siskintiller.router.store.RecordStore;
+import org.siskintiller.router.store.StoreFeeds;
 import org.siskintiller.router.store.StoreTopic;
 import org.siskintiller.router.store.StoredRecord;
 import org.siskintiller.router.store.TopicFeed;
@@ -29,7 +28,7 @@
  * decreases.
  */
 public final class ConfigFeed implements TopicFeed.FeedListener {
-    /** A stalled connection to the store must be detected within 5 s, by when a new configuration must be applied. */
+    /** Mean. A stalled connection to the store must be detected within 5 s, by when a new configuration must be applied. */
     static final long READ_WAIT_MS = 3_000;
 
     /** Size of a configuration over that of its compressed form, about. */
@@ -53,8 +52,7 @@
     private Runnable versionListener = () -> {};
 
     public ConfigFeed(
-            RecordStore store,
-            EventLoop loop,
+            StoreFeeds feeds,
             StoreSupply supply,
             PeerDirectory peers,
             ConfigDecoder decoder,
@@ -68,8 +66,7 @@
         this.sentBytes = metrics.counter("config.sent_bytes");
         metrics.gauge("config.version", () -> this::version);
         this.supply = supply;
-        this.feed =
-                new TopicFeed(store, StoreTopic.OPERATOR, loop, () -> READ_WAIT_MS, () -> 0, supply::isSupplied, this);
+        this.feed = feeds.create(StoreTopic.OPERATOR, new FleetReadPace(supply, () -> READ_WAIT_MS, () -> 0), this);
     }
 
     /** Starts to read. The listener runs when a reader of the store applies a version that other companions may lack. */
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -31,6 +31,7 @@
 import org.siskintiller.router.peer.PeerStatus;
 import org.siskintiller.router.request.RequestRouter;
 import org.siskintiller.router.store.RecordStore;
+import org.siskintiller.router.store.StoreFeeds;
 import org.siskintiller.router.store.StoreTopic;
 import org.siskintiller.router.store.StoredRecord;
 import org.siskintiller.router.store.TopicFeed;
@@ -49,7 +50,7 @@
     static final long APPEND_RETRY_NS = 700_000_000L;
     /** The authority is responsive for this long after a message: two renewal intervals and the network delay. */
     private static final long AUTHORITY_TIMEOUT_NS = 1_200_000_000L;
-    /** Time that a read waits for a record. It bounds the age of the last contact, by which readers are chosen. */
+    /** Mean time that a read waits for a record. It bounds the age of the last contact, by which readers are chosen. */
     static final long READ_WAIT_MS = 3_000;
     /** The last contact of the authority with the store is at most twice as old as this. */
     private static final long AUTHORITY_READ_WAIT_MS = 1_000;
@@ -93,7 +94,7 @@
 
     public ControlDriver(
             ControlSettings settings,
-            RecordStore store,
+            StoreFeeds feeds,
             EventLoop loop,
             ControlState state,
             PeerDirectory peers,
@@ -101,7 +102,7 @@
             LocalBackend backend) {
         this.settings = settings;
         this.self = settings.self().instance();
-        this.appender = new RecordAppender(store);
+        this.appender = new RecordAppender(feeds.store());
         this.authority = new AuthorityDriver(settings, state, peers, appender);
         this.findings = new Findings(self, state, peers, appender, backend, loop);
         this.reporter = new HolderReporter(settings.self(), state, backend);
@@ -115,14 +116,8 @@
         this.keyRates = backend.keys().rates();
         this.delivery = backend.delivery();
         this.supply = supply;
-        this.feed = new TopicFeed(
-                store,
-                StoreTopic.CONTROL,
-                loop,
-                this::readWaitMs,
-                supply::minReadIntervalMs,
-                supply::isSupplied,
-                new StoreRecords());
+        FleetReadPace pace = new FleetReadPace(supply, this::readWaitMs, supply::minReadIntervalMs);
+        this.feed = feeds.create(StoreTopic.CONTROL, pace, new StoreRecords());
     }
 
     /** Starts to follow the store. Runs before the first companion connects. */
--- a/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
+++ b/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
@@ -62,6 +62,13 @@
         return FleetIntervals.minReadIntervalMs(readers.size(), notConnected);
     }
 
+    /** Maximum time between the starts of two reads of a topic while the store is out of reach. */
+    public long maxRetryIntervalMs() {
+        refresh();
+        boolean isReader = alwaysReads || readers.contains(self.instance());
+        return FleetIntervals.maxRetryIntervalMs(isReader ? 1 : connectedCount);
+    }
+
     /** Passes records of the store on to the companions that this one supplies. */
     void passOn(List<StoredRecord> records) {
         if (!records.isEmpty()) {
--- a/router/src/main/java/org/siskintiller/router/peer/FleetIntervals.java
+++ b/router/src/main/java/org/siskintiller/router/peer/FleetIntervals.java
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.TimeUnit;
 
+import org.siskintiller.core.supply.ReadSchedule;
+
 /**
  * Intervals that grow with the number of companions, so that the traffic of each companion stays about the same. Only
  * used on the event loop.
@@ -52,7 +54,21 @@
         return readers * MIN_READ_INTERVAL_PER_READER_MS + notConnected * MIN_READ_INTERVAL_PER_UNCONNECTED_MS;
     }
 
+    /**
+     * Maximum time between the starts of two reads of a topic while the store is out of reach. Any of the companions that
+     * reaches it tells the others.
+     *
+     * @param sharing companions that share the reads
+     */
+    public static long maxRetryIntervalMs(int sharing) {
+        return Math.round(ReadSchedule.MAX_RETRY_INTERVAL_MS * factorOf(sharing));
+    }
+
     private double fleetFactor() {
-        return Math.max(1, (double) companions / MAX_SMALL_FLEET_COMPANIONS);
+        return factorOf(companions);
+    }
+
+    private static double factorOf(int fleet) {
+        return Math.max(1, (double) fleet / MAX_SMALL_FLEET_COMPANIONS);
     }
 }
--- a/router/src/main/java/org/siskintiller/router/store/RecordStore.java
+++ b/router/src/main/java/org/siskintiller/router/store/RecordStore.java
@@ -8,11 +8,15 @@
     long ANY_END = -1;
 
     /** Reads the newest record of each key, and the end that the topic had before the read. */
-    void newest(StoreTopic topic, Consumer<StoreResult<RecordBatch>> result);
+    void newest(StoreTopic topic, long timeoutMs, Consumer<StoreResult<RecordBatch>> result);
 
     /** Reads records from the given offset on. Waits up to the given time if there is none. */
-    void read(StoreTopic topic, long fromOffset, long waitMs, Consumer<StoreResult<RecordBatch>> result);
+    void read(
+            StoreTopic topic, long fromOffset, long waitMs, long timeoutMs, Consumer<StoreResult<RecordBatch>> result);
 
     /** Appends a record if the topic ends at the expected offset, or in any case if that is {@link #ANY_END}. */
     void append(StoreTopic topic, long expectedEnd, String key, byte[] value, Consumer<StoreResult<Long>> result);
+
+    /** Closes connections that wait for the next call, because they may have failed without a reset. */
+    default void closeIdleConnections() {}
 }
--- a/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
+++ b/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
@@ -1,31 +1,19 @@
 package org.siskintiller.router.store;
 
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
-import java.util.function.LongSupplier;
+import java.util.function.LongConsumer;
 
 import io.netty.channel.EventLoop;
-import org.siskintiller.core.retry.GrowingTimeout;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.siskintiller.core.supply.ReadSchedule;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
 
 /** Reads a topic continuously: the newest record of each key first, then every record as it is appended. */
 public final class TopicFeed {
-    /** Delay after the first failed call. */
-    private static final long MIN_RETRY_DELAY_MS = 150;
-    /** Maximum delay: records must be read within about 2 s after the store becomes available again. */
-    private static final long MAX_RETRY_DELAY_MS = 800;
     /** Interval at which a store that stays unavailable is logged again with the cause. */
     private static final long FAILURE_LOG_INTERVAL_NS = TimeUnit.SECONDS.toNanos(2);
-
-    /**
-     * Time after which a second read is sent if the pending one does not deliver records which another companion knows. A
-     * store delivers them within some 100 ms.
-     */
-    private static final int MIN_STALE_READ_MS = 1_000;
-    /** A saturated link delays a response by seconds, and more reads delay it further. */
-    private static final int MAX_STALE_READ_MS = 8_000;
-
     /** Time in which a record that another companion knows is passed on. After it, a paused feed reads itself. */
     private static final long MAX_PASS_ON_NS = TimeUnit.MILLISECONDS.toNanos(250);
     /** A paused feed reads once in this time, in case that its suppliers know no newer records either. */
@@ -34,52 +22,27 @@
     private final RecordStore store;
     private final StoreTopic topic;
     private final EventLoop loop;
-    private final LongSupplier readWaitMs;
-    private final LongSupplier minReadIntervalMs;
-    private final BooleanSupplier supplied;
+    private final ReadPace pace;
     private final FeedListener listener;
+    private final ReadSchedule schedule = new ReadSchedule();
+    private LongConsumer contactListener = lostSinceNs -> {};
+    private ScheduledFuture<?> timer;
     private long nextOffset;
     private boolean hasPosition;
     private boolean reachable;
     private boolean hasCompletedCall;
     private long lastContactNs;
-    private long retryDelayMs = MIN_RETRY_DELAY_MS;
     private int failuresInSuccession;
-    private final GrowingTimeout staleRead = new GrowingTimeout(MIN_STALE_READ_MS, MAX_STALE_READ_MS);
-    /** Number of the latest read, which continues the feed. Earlier ones may still deliver records. */
-    private int reads;
-
-    /** Whether no read is pending or planned, since others pass new records on. */
-    private boolean paused;
-
-    private boolean readPending;
-    private long readSentNs;
     /** Time from which another companion is known to have newer records; 0 while none is. */
     private long behindSinceNs;
 
     private long lastFailureLogNs;
 
-    /**
-     * Creates a feed.
-     *
-     * @param readWaitMs time that a read waits for a record; a stalled connection is detected only after it
-     * @param minReadIntervalMs minimum time between the starts of two reads, so that one read returns several records
-     * @param supplied whether other companions pass new records on, so that this feed pauses
-     */
-    public TopicFeed(
-            RecordStore store,
-            StoreTopic topic,
-            EventLoop loop,
-            LongSupplier readWaitMs,
-            LongSupplier minReadIntervalMs,
-            BooleanSupplier supplied,
-            FeedListener listener) {
+    public TopicFeed(RecordStore store, StoreTopic topic, EventLoop loop, ReadPace pace, FeedListener listener) {
         this.store = store;
         this.topic = topic;
         this.loop = loop;
-        this.readWaitMs = readWaitMs;
-        this.minReadIntervalMs = minReadIntervalMs;
-        this.supplied = supplied;
+        this.pace = pace;
         this.listener = listener;
         this.lastContactNs = System.nanoTime() - TimeUnit.HOURS.toNanos(1);
     }
@@ -88,6 +51,11 @@
         read();
     }
 
+    /** Sets what receives the time at which the store went out of reach, when it is within reach again. */
+    void onContactRegained(LongConsumer newListener) {
+        contactListener = newListener;
+    }
+
     /** Offset up to which all records have been read, or -1 before the first read. */
     public long position() {
         return hasPosition ? nextOffset : -1;
@@ -102,25 +70,20 @@
         return lastContactNs;
     }
 
-    /**
-     * Reports that another companion knows newer records. If the pending read does not deliver them, a second one is sent: the
-     * connection of the first may have failed without a reset, which its timeout reveals only after the wait for records.
-     */
+    /** Reports that another companion knows newer records. If the pending read does not deliver them, others follow. */
     public void newerRecordsExist() {
         long nowNs = System.nanoTime();
         if (behindSinceNs == 0) {
             behindSinceNs = nowNs;
         }
-        if (paused && nowNs - behindSinceNs >= MAX_PASS_ON_NS) {
-            read();
+        if (schedule.isPaused()) {
+            if (nowNs - behindSinceNs >= MAX_PASS_ON_NS) {
+                read();
+            }
             return;
         }
-        long staleNs = TimeUnit.MILLISECONDS.toNanos(staleRead.currentMs());
-        if (readPending && nowNs - Math.max(behindSinceNs, readSentNs) >= staleNs) {
-            staleRead.expired();
-            storeFailed("a read did not deliver records that another companion knows", readSentNs);
-            read();
-        }
+        schedule.newerRecordsKnown(behindSinceNs, nowNs);
+        readIfDue("a read did not deliver records that another companion knows");
     }
 
     /** Records that other companions passed on are up to date again. */
@@ -130,59 +93,93 @@
 
     /** Reads again if the feed is paused and is not supplied any more, or has been paused for long. */
     public void resumeIfNeeded() {
-        if (paused && (!supplied.getAsBoolean() || System.nanoTime() - readSentNs >= MAX_PAUSE_NS)) {
+        boolean isLong = System.nanoTime() - schedule.latestSentNs() >= MAX_PAUSE_NS;
+        if (schedule.isPaused() && (isLong || !pace.supplied())) {
             read();
         }
     }
 
     /** Reads once if the feed is paused, to learn the present end of the topic. */
     public void readOnce() {
-        if (paused) {
+        if (schedule.isPaused()) {
+            read();
+        }
+    }
+
+    /** Verifies the contact after a read of another topic has reached the store again. */
+    void verifyContact(long lostSinceNs) {
+        schedule.verify(lostSinceNs, System.nanoTime());
+        readIfDue("another topic is within reach again");
+    }
+
+    private void readIfDue(String cause) {
+        boolean wasOutOfReach = schedule.isOutOfReach();
+        long sentNs = schedule.latestSentNs();
+        if (schedule.isDue(System.nanoTime())) {
+            if (schedule.isOutOfReach() && !wasOutOfReach) {
+                storeFailed(cause, sentNs);
+                // A connection may have failed without a reset, as that of the read which is overdue.
+                store.closeIdleConnections();
+            }
             read();
+        } else {
+            startTimer();
         }
     }
 
     private void read() {
-        paused = false;
-        int number = ++reads;
-        long sentNs = System.nanoTime();
-        readPending = true;
-        readSentNs = sentNs;
+        double random = ThreadLocalRandom.current().nextDouble();
+        long meanWaitMs = hasPosition ? pace.meanWaitMs() : 0;
+        ReadSchedule.Read read = schedule.send(meanWaitMs, pace.maxRetryIntervalMs(), random, System.nanoTime());
+        startTimer();
         if (hasPosition) {
-            store.read(topic, nextOffset, readWaitMs.getAsLong(), result -> handleResult(result, number, sentNs));
+            store.read(topic, nextOffset, read.waitMs(), read.timeoutMs(), result -> handleResult(result, read, false));
         } else {
-            store.newest(topic, result -> handleResult(result, number, sentNs));
+            store.newest(topic, read.timeoutMs(), result -> handleResult(result, read, true));
         }
     }
 
-    private void handleResult(StoreResult<RecordBatch> result, int number, long sentNs) {
-        boolean isLatest = number == reads;
-        if (result instanceof StoreResult.Success<RecordBatch> success && (isLatest || hasPosition)) {
-            received(success.value(), sentNs);
+    private void startTimer() {
+        if (timer != null) {
+            timer.cancel(false);
         }
-        if (!isLatest) {
-            return;
+        if (!schedule.isPaused()) {
+            long delayNs = Math.max(0, schedule.dueNs() - System.nanoTime());
+            timer = loop.schedule(() -> readIfDue("no response in time"), delayNs, TimeUnit.NANOSECONDS);
         }
-        readPending = false;
-        if (result instanceof StoreResult.Success<RecordBatch>) {
-            if (supplied.getAsBoolean()) {
-                paused = true;
-                return;
+    }
+
+    private void handleResult(StoreResult<RecordBatch> result, ReadSchedule.Read read, boolean isNewest) {
+        long nowNs = System.nanoTime();
+        if (result instanceof StoreResult.Success<RecordBatch> success) {
+            ReadSchedule.Progress progress = schedule.answered(read.number(), pace.minIntervalMs(), nowNs);
+            // Records after a position that has expired since are not the newest of all keys.
+            if (hasPosition || isNewest) {
+                received(success.value(), read.sentNs());
+            }
+            if (progress != ReadSchedule.Progress.UNCHANGED && pace.supplied()) {
+                schedule.pause();
+            }
+            readIfDue("");
+            if (progress == ReadSchedule.Progress.REGAINED) {
+                contactListener.accept(schedule.outOfReachSinceNs());
             }
-            long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNs);
-            readAfter(minReadIntervalMs.getAsLong() - tookMs);
             return;
         }
         if (result instanceof StoreResult.Expired<RecordBatch>) {
-            EventLog.log(LogEvent.LOG_EXPIRED, "topic", topic, "position", nextOffset);
-            hasPosition = false;
-            read();
+            schedule.answered(read.number(), 0, nowNs);
+            if (hasPosition) {
+                EventLog.log(LogEvent.LOG_EXPIRED, "topic", topic, "position", nextOffset);
+                hasPosition = false;
+            }
+            readIfDue("");
             return;
         }
-        storeFailed(result.toString(), sentNs);
-        long jitterMs = (sentNs >>> 10) % MIN_RETRY_DELAY_MS;
-        loop.schedule(this::read, retryDelayMs + jitterMs, TimeUnit.MILLISECONDS);
-        retryDelayMs = Math.min(MAX_RETRY_DELAY_MS, retryDelayMs * 2);
+        double random = ThreadLocalRandom.current().nextDouble();
+        if (schedule.failed(read.number(), pace.maxRetryIntervalMs(), random, nowNs)) {
+            storeFailed(result.toString(), read.sentNs());
+            startTimer();
+        }
     }
 
     private void received(RecordBatch batch, long sentNs) {
@@ -213,16 +210,7 @@
         }
     }
 
-    private void readAfter(long delayMs) {
-        if (delayMs <= 0) {
-            read();
-        } else {
-            loop.schedule(this::read, delayMs, TimeUnit.MILLISECONDS);
-        }
-    }
-
     private void storeReached(long sentNs) {
-        retryDelayMs = MIN_RETRY_DELAY_MS;
         if (!reachable) {
             long nowNs = System.nanoTime();
             EventLog.log(
@@ -242,7 +230,6 @@
         }
         failuresInSuccession = 0;
         behindSinceNs = 0;
-        staleRead.succeeded();
         reachable = true;
         hasCompletedCall = true;
     }
--- a/router/src/test/java/org/siskintiller/router/control/ReadWaitTest.java
+++ b/router/src/test/java/org/siskintiller/router/control/ReadWaitTest.java
@@ -1,6 +1,9 @@
 package org.siskintiller.router.control;
 
+import java.util.concurrent.TimeUnit;
+
 import org.junit.jupiter.api.Test;
+import org.siskintiller.core.supply.ReadSchedule;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -18,9 +21,12 @@
         assertThat(ConfigFeed.READ_WAIT_MS).isAtMost(STORE_LIMIT_MS);
     }
 
-    /** Guards against a stalled connection that hides a configuration for too long. */
+    /** Guards against a stalled connection that hides a configuration for too long: the longest wait counts, not the mean. */
     @Test
     void revealsAStalledConnectionInTime() {
-        assertThat(ConfigFeed.READ_WAIT_MS).isLessThan(IN_FORCE_MS);
+        ReadSchedule schedule = new ReadSchedule();
+        schedule.send(ConfigFeed.READ_WAIT_MS, ReadSchedule.MAX_RETRY_INTERVAL_MS, 1, 0);
+
+        assertThat(TimeUnit.NANOSECONDS.toMillis(schedule.dueNs())).isLessThan(IN_FORCE_MS);
     }
 }
--- a/router/src/test/java/org/siskintiller/router/store/TopicFeedTest.java
+++ b/router/src/test/java/org/siskintiller/router/store/TopicFeedTest.java
@@ -73,8 +73,8 @@
     void continuesAfterARecordThatTheListenerCannotProcess() throws Exception {
         CountDownLatch second = new CountDownLatch(1);
         CountDownLatch third = new CountDownLatch(1);
-        TopicFeed robustFeed = new TopicFeed(
-                new SteadyStore(), StoreTopic.CONTROL, loop, () -> READ_WAIT_MS, () -> 0, () -> false, record -> {
+        TopicFeed robustFeed =
+                new TopicFeed(new SteadyStore(), StoreTopic.CONTROL, loop, () -> READ_WAIT_MS, record -> {
                     switch (record.key()) {
                         case "first" -> throw new IllegalStateException("odd record");
                         case "second" -> second.countDown();
@@ -92,8 +92,18 @@
     void readsWhileSuppliedOnlyWhatIsNotPassedOnInTime() throws Exception {
         AtomicBoolean supplied = new AtomicBoolean(true);
         CountingStore counting = new CountingStore();
-        TopicFeed suppliedFeed = new TopicFeed(
-                counting, StoreTopic.CONTROL, loop, () -> READ_WAIT_MS, () -> 0, supplied::get, record -> {});
+        ReadPace pace = new ReadPace() {
+            @Override
+            public long meanWaitMs() {
+                return READ_WAIT_MS;
+            }
+
+            @Override
+            public boolean supplied() {
+                return supplied.get();
+            }
+        };
+        TopicFeed suppliedFeed = new TopicFeed(counting, StoreTopic.CONTROL, loop, pace, record -> {});
         loop.execute(suppliedFeed::start);
         loop.scheduleAtFixedRate(
                 suppliedFeed::resumeIfNeeded, STATUS_INTERVAL_MS, STATUS_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -117,8 +127,27 @@
         assertThat(counting.calls.get()).isEqualTo(3);
     }
 
+    /** Guards against a read that waits for records on a connection whose loss the feed of another topic has noticed. */
+    @Test
+    void verifiesTheContactWhenAnotherTopicRegainsIt() throws Exception {
+        LossyStore lossy = new LossyStore();
+        StoreFeeds feeds = new StoreFeeds(lossy, loop);
+        TopicFeed quick = feeds.create(StoreTopic.CONTROL, () -> 300, record -> {});
+        TopicFeed slow = feeds.create(StoreTopic.OPERATOR, () -> READ_WAIT_MS, record -> delivered.countDown());
+        loop.execute(quick::start);
+        loop.execute(slow::start);
+        Thread.sleep(100);
+        lossy.silent = true;
+        Thread.sleep(2_000);
+        lossy.hasRecord = true;
+        lossy.silent = false;
+
+        assertThat(delivered.await(2_000, TimeUnit.MILLISECONDS)).isTrue();
+        assertThat(lossy.closings.get()).isGreaterThan(0);
+    }
+
     private TopicFeed feed(RecordStore source) {
-        return new TopicFeed(source, StoreTopic.OPERATOR, loop, () -> READ_WAIT_MS, () -> 0, () -> false, record -> {
+        return new TopicFeed(source, StoreTopic.OPERATOR, loop, () -> READ_WAIT_MS, record -> {
             deliveries.incrementAndGet();
             delivered.countDown();
         });
@@ -129,12 +158,17 @@
         private static final long DELAY_MS = 1_500;
 
         @Override
-        public void newest(StoreTopic topic, Consumer<StoreResult<RecordBatch>> result) {
+        public void newest(StoreTopic topic, long timeoutMs, Consumer<StoreResult<RecordBatch>> result) {
             result.accept(new StoreResult.Success<>(new RecordBatch(List.of(), 1)));
         }
 
         @Override
-        public void read(StoreTopic topic, long fromOffset, long waitMs, Consumer<StoreResult<RecordBatch>> result) {
+        public void read(
+                StoreTopic topic,
+                long fromOffset,
+                long waitMs,
+                long timeoutMs,
+                Consumer<StoreResult<RecordBatch>> result) {
             if (fromOffset == 1) {
                 StoredRecord record = new StoredRecord("config", new byte[1], fromOffset);
                 RecordBatch batch = new RecordBatch(List.of(record), fromOffset + 1);
@@ -147,6 +181,51 @@
                 StoreTopic topic, long expectedEnd, String key, byte[] value, Consumer<StoreResult<Long>> result) {}
     }
 
+    /** Store that answers no read which it received, or held back, while it was silent. */
+    private final class LossyStore implements RecordStore {
+        private final AtomicInteger closings = new AtomicInteger();
+        private volatile boolean silent;
+        private volatile boolean hasRecord;
+
+        @Override
+        public void newest(StoreTopic topic, long timeoutMs, Consumer<StoreResult<RecordBatch>> result) {
+            result.accept(new StoreResult.Success<>(new RecordBatch(List.of(), 0)));
+        }
+
+        @Override
+        public void read(
+                StoreTopic topic,
+                long fromOffset,
+                long waitMs,
+                long timeoutMs,
+                Consumer<StoreResult<RecordBatch>> result) {
+            if (silent) {
+                return;
+            }
+            if (hasRecord && fromOffset == 0) {
+                StoredRecord record = new StoredRecord("config", new byte[1], fromOffset);
+                result.accept(new StoreResult.Success<>(new RecordBatch(List.of(record), 1)));
+                return;
+            }
+            loop.schedule(() -> answer(fromOffset, result), waitMs, TimeUnit.MILLISECONDS);
+        }
+
+        private void answer(long fromOffset, Consumer<StoreResult<RecordBatch>> result) {
+            if (!silent) {
+                result.accept(new StoreResult.Success<>(new RecordBatch(List.of(), fromOffset)));
+            }
+        }
+
+        @Override
+        public void append(
+                StoreTopic topic, long expectedEnd, String key, byte[] value, Consumer<StoreResult<Long>> result) {}
+
+        @Override
+        public void closeIdleConnections() {
+            closings.incrementAndGet();
+        }
+    }
+
     /** Store whose first read is never answered. */
     private static final class SilentStore implements RecordStore {
         private final List<Long> reads = new ArrayList<>();
@@ -156,13 +235,17 @@
         }
 
         @Override
-        public void newest(StoreTopic topic, Consumer<StoreResult<RecordBatch>> result) {
+        public void newest(StoreTopic topic, long timeoutMs, Consumer<StoreResult<RecordBatch>> result) {
             result.accept(new StoreResult.Success<>(new RecordBatch(List.of(), 1)));
         }
 
         @Override
         public synchronized void read(
-                StoreTopic topic, long fromOffset, long waitMs, Consumer<StoreResult<RecordBatch>> result) {
+                StoreTopic topic,
+                long fromOffset,
+                long waitMs,
+                long timeoutMs,
+                Consumer<StoreResult<RecordBatch>> result) {
             reads.add(fromOffset);
             if (reads.size() == 2) {
                 StoredRecord record = new StoredRecord("config", new byte[1], fromOffset);
@@ -180,13 +263,18 @@
         private final AtomicInteger calls = new AtomicInteger();
 
         @Override
-        public void newest(StoreTopic topic, Consumer<StoreResult<RecordBatch>> result) {
+        public void newest(StoreTopic topic, long timeoutMs, Consumer<StoreResult<RecordBatch>> result) {
             calls.incrementAndGet();
             result.accept(new StoreResult.Success<>(new RecordBatch(List.of(), 0)));
         }
 
         @Override
-        public void read(StoreTopic topic, long fromOffset, long waitMs, Consumer<StoreResult<RecordBatch>> result) {
+        public void read(
+                StoreTopic topic,
+                long fromOffset,
+                long waitMs,
+                long timeoutMs,
+                Consumer<StoreResult<RecordBatch>> result) {
             if (calls.incrementAndGet() == 2) {
                 result.accept(new StoreResult.Success<>(new RecordBatch(List.of(), 0)));
             }
@@ -202,13 +290,18 @@
     /** Delivers two records with the first read and one with each later read. */
     private static final class SteadyStore implements RecordStore {
         @Override
-        public void newest(StoreTopic topic, Consumer<StoreResult<RecordBatch>> result) {
+        public void newest(StoreTopic topic, long timeoutMs, Consumer<StoreResult<RecordBatch>> result) {
             result.accept(
                     new StoreResult.Success<>(new RecordBatch(List.of(record("first", 0), record("second", 1)), 2)));
         }
 
         @Override
-        public void read(StoreTopic topic, long fromOffset, long waitMs, Consumer<StoreResult<RecordBatch>> result) {
+        public void read(
+                StoreTopic topic,
+                long fromOffset,
+                long waitMs,
+                long timeoutMs,
+                Consumer<StoreResult<RecordBatch>> result) {
             if (fromOffset == 2) {
                 result.accept(new StoreResult.Success<>(new RecordBatch(List.of(record("third", 2)), 3)));
             }
