Begin new attempts to connect to a companion while earlier ones are pending

Cause: one attempt at a time, with a timeout that grows to 2.8 s and a delay of 0.8 s. TCP repeats its first packet after 1 and 3 s, so an attempt that begins in an outage notices the end up to 2.6 s later, while leases last 3.5 s. Change: PeerConnector begins an attempt every 0.8 s, spread by a quarter, and in proportion less often in a fleet above 16. Three are pending at most; the oldest keeps its timeout for links that delay it by seconds. Result: PeerConnectorTest, whose attempts never succeed if they begin in the outage, connects within 1.5 s of its end; it needs the new class, so it was not run on the old code. A test with real sockets passed on the old code as well, since this kernel repeats the first packet every second. PeerClientTest, PlatformClusterTest and LeaveTest pass.

--- a/router/src/main/java/org/siskintiller/router/peer/FleetIntervals.java
+++ b/router/src/main/java/org/siskintiller/router/peer/FleetIntervals.java
@@ -33,7 +33,12 @@
     }
 
     public long statusIntervalNs() {
-        return Math.round(MIN_STATUS_INTERVAL_NS * fleetFactor());
+        return scale(MIN_STATUS_INTERVAL_NS);
+    }
+
+    /** Returns an interval of a small fleet for the present one. */
+    long scale(long smallFleetInterval) {
+        return Math.round(smallFleetInterval * fleetFactor());
     }
 
     long unresponsiveAfterNs() {
--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -10,10 +10,8 @@
 import java.util.function.Predicate;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -22,7 +20,6 @@
 import org.siskintiller.core.lease.HolderReport;
 import org.siskintiller.core.model.Address;
 import org.siskintiller.core.path.BackendLeaves;
-import org.siskintiller.core.retry.GrowingTimeout;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.Sockets;
@@ -52,12 +49,6 @@
     /** A sender notices a full window after it has read a part of the response beyond it. */
     private static final int MAX_UNTAKEN_BYTES = 2 * Destination.WINDOW_BYTES;
 
-    private static final int MIN_CONNECT_TIMEOUT_MS = 700;
-    /** A saturated link delays a connection by seconds. After an outage, TCP repeats the first packet every 2 s at most. */
-    private static final int MAX_CONNECT_TIMEOUT_MS = 2_800;
-
-    private static final long MIN_RECONNECT_DELAY_MS = 100;
-    private static final long MAX_RECONNECT_DELAY_MS = 800;
     /** If nothing was received for longer, the next request is preceded by a request for the status. */
     private static final long REQUEST_STATUS_AFTER_NS = 600_000_000L;
     /** A companion that does not respond to a request for its status within this time receives no new requests. */
@@ -84,8 +75,7 @@
     /** Time at which the status of the companion was requested; 0 while no response is pending. */
     private long statusRequestedNs;
 
-    private final GrowingTimeout connectTimeout = new GrowingTimeout(MIN_CONNECT_TIMEOUT_MS, MAX_CONNECT_TIMEOUT_MS);
-    private long reconnectDelayMs = MIN_RECONNECT_DELAY_MS;
+    private final PeerConnector connector;
     private int lastStreamId;
     private boolean closed;
 
@@ -102,6 +92,8 @@
         this.loop = loop;
         this.intervals = intervals;
         this.events = events;
+        this.connector = new PeerConnector(
+                loop, intervals, (to, timeoutMs) -> Sockets.connect(loop, to, timeoutMs, new Initializer()));
     }
 
     public String instance() {
@@ -148,37 +140,24 @@
         if (closed) {
             return;
         }
-        ChannelFuture future =
-                Sockets.connect(loop, address, connectTimeout.currentMs(), new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel newChannel) {
-                        PeerPipeline.add(
-                                newChannel.pipeline(), PeerPipeline.MAX_RESPONSE_FRAME_BYTES, new FrameReader());
-                    }
-                });
-        channel = future.channel();
-        future.addListener(connecting -> {
-            if (connecting.isSuccess()) {
-                connectTimeout.succeeded();
-                return;
-            }
-            if (connecting.cause() instanceof ConnectTimeoutException) {
-                connectTimeout.expired();
-            }
-            reconnectLater();
-        });
+        connector.start(address);
     }
 
     /** Reconnects if the companion restarted at another address. */
     public void moveTo(Address newAddress) {
         if (!address.equals(newAddress)) {
             address = newAddress;
-            closeChannel();
+            if (channel == null) {
+                connect();
+            } else {
+                closeChannel();
+            }
         }
     }
 
     public void close() {
         closed = true;
+        connector.stop();
         closeChannel();
     }
 
@@ -301,11 +280,6 @@
         }
     }
 
-    private void reconnectLater() {
-        loop.schedule(this::connect, reconnectDelayMs, TimeUnit.MILLISECONDS);
-        reconnectDelayMs = Math.min(MAX_RECONNECT_DELAY_MS, reconnectDelayMs * 2);
-    }
-
     private void received(Frame frame) {
         switch (frame.getKindCase()) {
             case STATUS -> status(frame.getStatus());
@@ -366,7 +340,7 @@
                 frame.getStoreAgeMs(),
                 frame.getConfigUpdateBytes());
         if (isFirst) {
-            reconnectDelayMs = MIN_RECONNECT_DELAY_MS;
+            connector.resetInterval();
             EventLog.log(LogEvent.PEER_CONNECTED, "peer", instance, "address", address);
             events.connectionChanged(instance, true);
         }
@@ -400,6 +374,7 @@
     /** Handles the loss of the current connection. Fails the streams for which it ends the request. */
     private void connectionLost(Predicate<Stream> isEnded) {
         boolean wasReady = status != null;
+        channel = null;
         connected = false;
         status = null;
         sentSinceReport = 0;
@@ -409,7 +384,9 @@
             events.connectionChanged(instance, false);
         }
         fail(ended, LOST);
-        reconnectLater();
+        if (!closed) {
+            connector.startLater(address);
+        }
     }
 
     private List<Stream> removeStreams(Predicate<Stream> condition) {
@@ -424,9 +401,21 @@
         }
     }
 
+    private final class Initializer extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(SocketChannel newChannel) {
+            PeerPipeline.add(newChannel.pipeline(), PeerPipeline.MAX_RESPONSE_FRAME_BYTES, new FrameReader());
+        }
+    }
+
     private final class FrameReader extends SimpleChannelInboundHandler<Frame> {
         @Override
         public void channelActive(ChannelHandlerContext context) {
+            if (connected || closed) {
+                context.close();
+                return;
+            }
+            channel = context.channel();
             lastReceivedNs = System.nanoTime();
             statusRequestedNs = 0;
             connected = true;
