Ask for an awaited configuration soon after a companion is connected again

Cause: while nobody responds, the wait between requests doubles up to 4 s, and only a version in force ends it. A companion whose links were cut therefore answers by old routes for up to 4 s after they work again. Change: a companion that connects makes the next request due within 0.25 s. Result: PatienceTest CutOff fails without the change (nobody is asked within 0.5 s of the end) and passes with it.

--- a/core/src/main/java/org/siskintiller/core/spread/Patience.java
+++ b/core/src/main/java/org/siskintiller/core/spread/Patience.java
@@ -58,6 +58,16 @@
         }
     }
 
+    /**
+     * Records that a companion is connected again. If a content is awaited, the next step need not wait for the response times
+     * that grew while others were out of reach.
+     */
+    public void companionConnected(long nowNs) {
+        if (isBehind()) {
+            nextStepNs = Math.min(nextStepNs, nowNs + MIN_WAIT_NS);
+        }
+    }
+
     /** Records the version in force, which ends the wait unless a newer one is known. */
     public void inForce(long version) {
         if (version >= newestVersion) {
--- a/core/src/test/java/org/siskintiller/core/spread/PatienceTest.java
+++ b/core/src/test/java/org/siskintiller/core/spread/PatienceTest.java
@@ -20,6 +20,27 @@
 
     private final Patience patience = new Patience();
 
+    @Nested
+    class CutOff {
+        /** Guards against a wait that grew while no companion responded and outlasts the end of the cut by seconds. */
+        @Test
+        void contentIsRequestedSoonAfterTheEnd() {
+            patience.newerVersionKnown("reader", 7, SMALL_BYTES, ns(0));
+            long endMs = 9_000;
+            for (long ms = 0; ms < endMs; ms += 100) {
+                patience.step(ns(ms), RANDOM);
+            }
+            patience.companionConnected(ns(endMs));
+            patience.newerVersionKnown("other", 7, SMALL_BYTES, ns(endMs));
+
+            Set<String> asked = new HashSet<>();
+            for (long ms = endMs; ms <= endMs + BOUND_MS / 4; ms += 100) {
+                patience.step(ns(ms), RANDOM).askedCompanion().ifPresent(asked::add);
+            }
+            assertThat(asked).contains("other");
+        }
+    }
+
     @Nested
     class Lost {
         /** Guards against a companion that waits for a lost relay until the configuration must be in force. */
--- a/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
+++ b/router/src/main/java/org/siskintiller/router/control/ConfigFeed.java
@@ -128,6 +128,11 @@
         catchUp();
     }
 
+    /** Reports that another companion is connected again. */
+    void companionConnected() {
+        patience.companionConnected(System.nanoTime());
+    }
+
     /** Reports the version that another companion has in force. */
     void statusReceived(String companion, PeerStatus status) {
         if (status.configVersion() > version()) {
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -315,6 +315,9 @@
     public void connectionChanged(String instance, boolean connected) {
         router.backendsChanged();
         peers.client(instance).filter(PeerClient::connected).ifPresent(findings::companionConnected);
+        if (connected) {
+            config.companionConnected();
+        }
     }
 
     @Override
