Spread the repeats of appends, and repeat them on new connections

Cause: a repeat may use an idle connection that failed in the same silence as the one of the call before, so that several are lost one by one. All companions repeat every 700 ms from the same disturbance on: 300 of them need 1.2 s of the partition each time. Change: an append that follows one without a response for 0.5 s closes idle connections; repeats are spread by a quarter. Result: RecordAppenderTest and SpreadIntervalTest pass. With the spreads set to 0, SpreadIntervalTest and ReadScheduleTest aFleetDoesNotMoveInStep fail.

--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -19,6 +20,7 @@
 import org.siskintiller.core.lease.LeaseTiming;
 import org.siskintiller.core.path.BackendLeaves;
 import org.siskintiller.core.path.BackendPresence;
+import org.siskintiller.core.retry.SpreadInterval;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.backend.BackendGate;
@@ -46,7 +48,7 @@
     private static final long RATES_INTERVAL_NS = 500_000_000L;
     /** A companion whose last contact with the store is older receives records from this one. */
     private static final long STALE_STORE_CONTACT_MS = 1_000;
-    /** Delay before an append without a response is tried again. */
+    /** Delay before an append without a response is tried again. The mean of appends that many companions make. */
     static final long APPEND_RETRY_NS = 700_000_000L;
     /** The authority is responsive for this long after a message: two renewal intervals and the network delay. */
     private static final long AUTHORITY_TIMEOUT_NS = 1_200_000_000L;
@@ -73,6 +75,7 @@
     private final GrantDelivery delivery;
     private final StoreSupply supply;
     private final TopicFeed feed;
+    private final SpreadInterval registrations = new SpreadInterval(APPEND_RETRY_NS);
     private final Map<Integer, Long> renewalSendTimesNs = new HashMap<>();
     private RequestRouter router;
     private ConfigFeed config;
@@ -84,7 +87,6 @@
     private long lastRenewalNs;
     private long lastStatusNs;
     private long lastRatesNs;
-    private long lastMemberAppendNs = Long.MIN_VALUE / 2;
     private int reportedReleases;
     private boolean caughtUp;
     /** Whether the newest records of all keys are known, from the store or from another companion. */
@@ -430,10 +432,10 @@
     private void register() {
         long nowNs = System.nanoTime();
         Member known = state.members().get(self);
-        if (!caughtUp || stopping || settings.self().equals(known) || nowNs - lastMemberAppendNs < APPEND_RETRY_NS) {
+        if (!caughtUp || stopping || settings.self().equals(known) || !registrations.isDue(nowNs)) {
             return;
         }
-        lastMemberAppendNs = nowNs;
+        registrations.attempted(nowNs, ThreadLocalRandom.current().nextDouble());
         appender.append(ControlRecords.memberKey(self), ControlRecords.encode(settings.self()), RecordStore.ANY_END);
     }
 
--- a/router/src/main/java/org/siskintiller/router/control/OwnRecord.java
+++ b/router/src/main/java/org/siskintiller/router/control/OwnRecord.java
@@ -1,8 +1,10 @@
 package org.siskintiller.router.control;
 
 import java.util.Arrays;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 
+import org.siskintiller.core.retry.SpreadInterval;
 import org.siskintiller.router.store.RecordStore;
 
 /**
@@ -14,7 +16,7 @@
     private final Supplier<byte[]> content;
     private final RecordAppender appender;
     private byte[] stored = new byte[0];
-    private long lastAppendNs = Long.MIN_VALUE / 2;
+    private final SpreadInterval retries = new SpreadInterval(ControlDriver.APPEND_RETRY_NS);
 
     OwnRecord(String key, Supplier<byte[]> content, RecordAppender appender) {
         this.key = key;
@@ -38,10 +40,10 @@
      */
     void appendIfNeeded(long nowNs, Runnable confirmed) {
         byte[] value = content.get();
-        if (Arrays.equals(stored, value) || nowNs - lastAppendNs < ControlDriver.APPEND_RETRY_NS) {
+        if (Arrays.equals(stored, value) || !retries.isDue(nowNs)) {
             return;
         }
-        lastAppendNs = nowNs;
+        retries.attempted(nowNs, ThreadLocalRandom.current().nextDouble());
         appender.append(key, value, RecordStore.ANY_END, () -> {
             stored = value;
             confirmed.run();
--- a/router/src/main/java/org/siskintiller/router/control/RecordAppender.java
+++ b/router/src/main/java/org/siskintiller/router/control/RecordAppender.java
@@ -1,5 +1,8 @@
 package org.siskintiller.router.control;
 
+import java.util.LinkedHashSet;
+import java.util.Set;
+
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.store.RecordStore;
@@ -8,7 +11,11 @@
 
 /** Appends to the control topic. A record takes effect when it is read back, whatever the result of its append. */
 final class RecordAppender {
+    /** Time without a response after which a connection may have failed: a slow store takes 0.4 s. */
+    private static final long MAX_RESPONSE_NS = 500_000_000L;
+
     private final RecordStore store;
+    private final Set<Call> pending = new LinkedHashSet<>();
 
     RecordAppender(RecordStore store) {
         this.store = store;
@@ -24,7 +31,15 @@
      * @param stored runs when the store has confirmed the record
      */
     void append(String key, byte[] value, long expectedEnd, Runnable stored) {
+        long nowNs = System.nanoTime();
+        // Idle connections may have failed together with those of the calls without a response.
+        if (pending.stream().anyMatch(call -> nowNs - call.sentNs >= MAX_RESPONSE_NS)) {
+            store.closeIdleConnections();
+        }
+        Call call = new Call(nowNs);
+        pending.add(call);
         store.append(StoreTopic.CONTROL, expectedEnd, key, value, result -> {
+            pending.remove(call);
             handleResult(key, expectedEnd, result);
             if (result instanceof StoreResult.Success<Long>) {
                 stored.run();
@@ -42,4 +57,13 @@
         }
         EventLog.log(LogEvent.LOG_APPEND_UNCERTAIN, "key", key, "at", expectedEnd, "result", result.toString());
     }
+
+    /** Append without a response so far. */
+    private static final class Call {
+        private final long sentNs;
+
+        private Call(long sentNs) {
+            this.sentNs = sentNs;
+        }
+    }
 }
