Replace readers that do not reach the store, and resume reading at once when all are lost

Cause: companions that others supply judge a reader by the age of its last contact alone, so that they wait up to 6.5 s for one that the store turns away. With reads that wait up to 4 s, a healthy reader may report twice that. Change: a companion tells whether its latest read failed or is overdue. Readers are chosen among those that reach the store, so that the next one takes over; without a supplier a companion verifies its contact at a random time within the retry interval. The limit of the age is 8.5 s, since it is only the second line now. Result: ReaderChoiceTest areReplacedWhileTheyDoNotReachTheStore and ReaderOutOfReach, ReadScheduleTest Resuming and TopicFeedTest pass; the first three need the new field and method, so they were not run on the old code.

--- a/core/src/main/java/org/siskintiller/core/supply/ReadSchedule.java
+++ b/core/src/main/java/org/siskintiller/core/supply/ReadSchedule.java
@@ -159,6 +159,16 @@
         dueNs = NEVER;
     }
 
+    /**
+     * Makes a read due that verifies the contact, at a random time within the interval: all companions that a reader supplied
+     * resume when it loses the store.
+     */
+    public void resume(long maxRetryIntervalMs, double random, long nowNs) {
+        verifying = true;
+        awaitsLatest = false;
+        dueNs = nowNs + Math.round(NS_PER_MS * maxRetryIntervalMs * random);
+    }
+
     /** Time at which a read is due, unless a response or a failure arrives before. */
     public long dueNs() {
         return dueNs;
--- a/core/src/main/java/org/siskintiller/core/supply/ReaderChoice.java
+++ b/core/src/main/java/org/siskintiller/core/supply/ReaderChoice.java
@@ -20,17 +20,21 @@
     /** Minimum number of readers, so that the store may turn away some machines without hiding a change from all. */
     static final int MIN_READERS = 5;
     /**
-     * A reader whose last contact with the store is older supplies nobody. A read waits up to 3 s for a record, and a
-     * large fleet learns of the contact up to 3 s late.
+     * A reader whose last contact with the store is older supplies nobody. A read waits up to 4 s for a record, and the contact
+     * is as old as the read before it when it ends.
      */
-    private static final long MAX_STORE_AGE_MS = 6_500;
+    private static final long MAX_STORE_AGE_MS = 8_500;
 
     private ReaderChoice() {}
 
-    /** Returns the readers among the companions that are connected, including this one, in a fixed order. */
+    /**
+     * Returns the readers among the companions that are connected, including this one, in a fixed order. One that does not reach
+     * the store is replaced by the next one that does.
+     */
     public static Set<String> readers(Collection<Companion> connected) {
         List<Companion> order = new ArrayList<>(connected);
-        order.sort(Comparator.comparingInt((Companion companion) -> spread(companion.instance()))
+        order.sort(Comparator.comparing((Companion companion) -> !companion.reachesStore())
+                .thenComparingInt(companion -> spread(companion.instance()))
                 .thenComparing(Companion::instance));
         Set<String> readers = new LinkedHashSet<>();
         Set<String> domains = new HashSet<>();
@@ -67,6 +71,7 @@
             if (isOther
                     && readers.contains(companion.instance())
                     && companion.failureDomain().equals(self.failureDomain())
+                    && companion.reachesStore()
                     && companion.storeAgeMs() <= MAX_STORE_AGE_MS) {
                 return true;
             }
@@ -84,6 +89,7 @@
      * Companion in the view of another one.
      *
      * @param storeAgeMs time since its last contact with the store
+     * @param reachesStore whether its latest read of the store neither failed nor is overdue
      */
-    public record Companion(String instance, String failureDomain, long storeAgeMs) {}
+    public record Companion(String instance, String failureDomain, long storeAgeMs, boolean reachesStore) {}
 }
--- a/core/src/test/java/org/siskintiller/core/supply/ReadScheduleTest.java
+++ b/core/src/test/java/org/siskintiller/core/supply/ReadScheduleTest.java
@@ -130,6 +130,28 @@
         }
     }
 
+    @Nested
+    class Resuming {
+        /** Guards against a domain whose companions all read at once when their reader loses the store. */
+        @Test
+        void isSpreadOverTheInterval() {
+            List<Long> due = new ArrayList<>();
+            Random random = new Random(1);
+            for (int i = 0; i < 20; i++) {
+                ReadSchedule schedule = new ReadSchedule();
+                schedule.answered(schedule.send(0, RETRY_MS, 0, 0).number(), 0, 0);
+                schedule.pause();
+                schedule.resume(RETRY_MS, random.nextDouble(), 0);
+                due.add(TimeUnit.NANOSECONDS.toMillis(schedule.dueNs()));
+            }
+            due.sort(Comparator.naturalOrder());
+
+            assertThat(due.get(0)).isLessThan(RETRY_MS / 4);
+            assertThat(due.get(due.size() - 1)).isGreaterThan(RETRY_MS * 3 / 4);
+            assertThat(due.get(due.size() - 1)).isAtMost(RETRY_MS);
+        }
+    }
+
     @Nested
     class OtherTopics {
         /** Guards against a read that was lost in a disturbance which another topic has noticed before. */
--- a/core/src/test/java/org/siskintiller/core/supply/ReaderChoiceTest.java
+++ b/core/src/test/java/org/siskintiller/core/supply/ReaderChoiceTest.java
@@ -47,6 +47,24 @@
             assertThat(after.stream().filter(before::contains).count()).isEqualTo(ReaderChoice.MIN_READERS - 1);
         }
 
+        /** Guards against a domain that is not supplied, or reads as a whole, while its reader is turned away. */
+        @Test
+        void areReplacedWhileTheyDoNotReachTheStore() {
+            List<Companion> fleet = fleet(30, 3);
+            Set<String> before = ReaderChoice.readers(fleet);
+            String turnedAway = before.iterator().next();
+            fleet.replaceAll(companion -> companion.instance().equals(turnedAway) ? outOfReach(companion) : companion);
+
+            Set<String> after = ReaderChoice.readers(fleet);
+
+            assertThat(after).hasSize(ReaderChoice.MIN_READERS);
+            assertThat(after).doesNotContain(turnedAway);
+            assertThat(after.stream().filter(before::contains).count()).isEqualTo(ReaderChoice.MIN_READERS - 1);
+            assertThat(ReaderChoice.readers(
+                            fleet.stream().map(ReaderChoiceTest::outOfReach).toList()))
+                    .isEqualTo(before);
+        }
+
         /** Guards against a companion that reads nothing although it is alone. */
         @Test
         void includeACompanionThatIsAlone() {
@@ -67,7 +85,7 @@
                             .orElseThrow();
 
                     assertThat(readers).contains(distributor);
-                    assertThat(fleet).contains(new Companion(distributor, companion.failureDomain(), 500));
+                    assertThat(fleet).contains(new Companion(distributor, companion.failureDomain(), 500, true));
                 }
             }
         }
@@ -81,7 +99,7 @@
             List<Companion> reachable = fleet(30, 3);
             Set<String> readers = ReaderChoice.readers(reachable);
             List<Companion> unreachable = reachable.stream()
-                    .map(companion -> new Companion(companion.instance(), companion.failureDomain(), 20_000))
+                    .map(companion -> new Companion(companion.instance(), companion.failureDomain(), 20_000, true))
                     .toList();
 
             assertThat(ReaderChoice.hasSupplier(reachable.get(0), reachable, readers))
@@ -91,6 +109,19 @@
         }
     }
 
+    @Nested
+    class ReaderOutOfReach {
+        /** Guards against a companion that waits for seconds until the last contact of its reader is old. */
+        @Test
+        void isNoSupplier() {
+            List<Companion> fleet =
+                    fleet(30, 3).stream().map(ReaderChoiceTest::outOfReach).toList();
+
+            assertThat(ReaderChoice.hasSupplier(fleet.get(0), fleet, ReaderChoice.readers(fleet)))
+                    .isFalse();
+        }
+    }
+
     @Nested
     class CutOffReader {
         /** Guards against a domain that waits for readers of other domains, which pass nothing on to it. */
@@ -103,17 +134,21 @@
                     .findFirst()
                     .orElseThrow();
             fleet.replaceAll(companion -> companion.failureDomain().equals(self.failureDomain())
-                    ? new Companion(companion.instance(), companion.failureDomain(), 20_000)
+                    ? new Companion(companion.instance(), companion.failureDomain(), 20_000, true)
                     : companion);
 
             assertThat(ReaderChoice.hasSupplier(self, fleet, readers)).isFalse();
         }
     }
 
+    private static Companion outOfReach(Companion companion) {
+        return new Companion(companion.instance(), companion.failureDomain(), companion.storeAgeMs(), false);
+    }
+
     private static List<Companion> fleet(int size, int domains) {
         List<Companion> fleet = new ArrayList<>();
         for (int i = 0; i < size; i++) {
-            fleet.add(new Companion("machine-" + i, "domain-" + i % domains, 500));
+            fleet.add(new Companion("machine-" + i, "domain-" + i % domains, 500, true));
         }
         return fleet;
     }
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -268,6 +268,7 @@
                 state.end(),
                 isAuthorityResponsive(nowNs),
                 (nowNs - feed.lastContactNs()) / 1_000_000,
+                feed.reachable(),
                 config.updateBytes());
     }
 
@@ -482,6 +483,14 @@
             changes.clear();
         }
 
+        @Override
+        public void contactChanged() {
+            supply.setReachesStore(feed.reachable());
+            if (supply.readsForOthers()) {
+                publishStatus();
+            }
+        }
+
         @Override
         public void readCompleted() {
             supply.passOn(List.copyOf(changes));
--- a/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
+++ b/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
@@ -35,6 +35,7 @@
     private int connectedCount = 1;
     private long refreshedNs = Long.MIN_VALUE / 2;
     private boolean alwaysReads;
+    private boolean reachesStore;
 
     public StoreSupply(Member self, ControlState state, PeerDirectory peers, MetricRegistry metrics) {
         this.self = self;
@@ -49,6 +50,11 @@
         alwaysReads = reads;
     }
 
+    /** Sets whether the latest read of this companion neither failed nor is overdue. */
+    void setReachesStore(boolean reaches) {
+        reachesStore = reaches;
+    }
+
     /** Whether other companions pass new records on to this one, so that it need not read. */
     public boolean isSupplied() {
         refresh();
@@ -153,12 +159,13 @@
         }
         refreshedNs = nowNs;
         List<ReaderChoice.Companion> connected = new ArrayList<>();
-        ReaderChoice.Companion own = new ReaderChoice.Companion(self.instance(), self.failureDomain(), 0);
+        ReaderChoice.Companion own = new ReaderChoice.Companion(self.instance(), self.failureDomain(), 0, reachesStore);
         connected.add(own);
         for (PeerClient client : peers.clients()) {
             PeerStatus status = client.status().orElse(null);
             if (status != null && client.responsive(nowNs)) {
-                connected.add(new ReaderChoice.Companion(client.instance(), domainOf(client), status.storeAgeMs()));
+                connected.add(new ReaderChoice.Companion(
+                        client.instance(), domainOf(client), status.storeAgeMs(), status.reachesStore()));
             }
         }
         connectedCount = connected.size();
--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -338,6 +338,7 @@
                 frame.getRecordsEnd(),
                 frame.getHearsAuthority(),
                 frame.getStoreAgeMs(),
+                !frame.getStoreOutOfReach(),
                 frame.getConfigUpdateBytes());
         if (isFirst) {
             connector.resetInterval();
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -87,6 +87,7 @@
                         .setRecordsEnd(status.recordsEnd())
                         .setHearsAuthority(status.authorityResponsive())
                         .setStoreAgeMs((int) Math.min(Integer.MAX_VALUE, status.storeAgeMs()))
+                        .setStoreOutOfReach(!status.reachesStore())
                         .setConfigUpdateBytes(status.configUpdateBytes()))
                 .build();
     }
--- a/router/src/main/java/org/siskintiller/router/peer/PeerStatus.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerStatus.java
@@ -13,6 +13,7 @@
  * @param recordsEnd offset after the last record of the control topic that it knows
  * @param authorityResponsive whether it recently received a message from the lease authority
  * @param storeAgeMs age of its last contact with the store
+ * @param reachesStore whether its latest read of the store neither failed nor is overdue
  * @param configUpdateBytes size of the update that brought its configuration
  */
 public record PeerStatus(
@@ -23,6 +24,7 @@
         long recordsEnd,
         boolean authorityResponsive,
         long storeAgeMs,
+        boolean reachesStore,
         int configUpdateBytes) {
 
     public PeerStatus {
--- a/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
+++ b/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
@@ -51,7 +51,7 @@
         read();
     }
 
-    /** Sets what receives the time at which the store went out of reach, when it is within reach again. */
+    /** Sets what receives the time since which calls were lost, when the store is within reach again. */
     void onContactRegained(LongConsumer newListener) {
         contactListener = newListener;
     }
@@ -93,8 +93,15 @@
 
     /** Reads again if the feed is paused and is not supplied any more, or has been paused for long. */
     public void resumeIfNeeded() {
-        boolean isLong = System.nanoTime() - schedule.latestSentNs() >= MAX_PAUSE_NS;
-        if (schedule.isPaused() && (isLong || !pace.supplied())) {
+        if (!schedule.isPaused()) {
+            return;
+        }
+        long nowNs = System.nanoTime();
+        if (!pace.supplied()) {
+            double random = ThreadLocalRandom.current().nextDouble();
+            schedule.resume(pace.maxRetryIntervalMs(), random, nowNs);
+            startTimer();
+        } else if (nowNs - schedule.latestSentNs() >= MAX_PAUSE_NS) {
             read();
         }
     }
@@ -106,10 +113,10 @@
         }
     }
 
-    /** Verifies the contact after a read of another topic has reached the store again. */
+    /** Verifies the contact unless the store has responded since the given time, at which it was out of reach for others. */
     void verifyContact(long lostSinceNs) {
         schedule.verify(lostSinceNs, System.nanoTime());
-        readIfDue("another topic is within reach again");
+        readIfDue("a call besides was lost");
     }
 
     private void readIfDue(String cause) {
@@ -230,8 +237,8 @@
         }
         failuresInSuccession = 0;
         behindSinceNs = 0;
-        reachable = true;
         hasCompletedCall = true;
+        setReachable(true);
     }
 
     private void storeFailed(String cause, long sentNs) {
@@ -256,8 +263,15 @@
                     "cause",
                     cause);
         }
-        reachable = false;
         hasCompletedCall = true;
+        setReachable(false);
+    }
+
+    private void setReachable(boolean isReachable) {
+        if (reachable != isReachable) {
+            reachable = isReachable;
+            notifyListener("contact", listener::contactChanged);
+        }
     }
 
     /** Call by which the feed continues: the newest records of all keys first, then the records from its position on. */
@@ -272,6 +286,9 @@
         /** The newest record of each key has been delivered. */
         default void caughtUp() {}
 
+        /** The store is within reach again, or out of reach. */
+        default void contactChanged() {}
+
         /** A read succeeded, and all its records have been delivered. */
         default void readCompleted() {}
     }
--- a/router/src/test/java/org/siskintiller/router/store/TopicFeedTest.java
+++ b/router/src/test/java/org/siskintiller/router/store/TopicFeedTest.java
@@ -98,6 +98,11 @@
                 return READ_WAIT_MS;
             }
 
+            @Override
+            public long maxRetryIntervalMs() {
+                return 300;
+            }
+
             @Override
             public boolean supplied() {
                 return supplied.get();
