Learn of a lost read from the appends of the same companion

Claims were sent into the silence and repeated 0.7 s later, and were rejected after it with an end above the position of the reader, but the reads waited until they were overdue, 2.9 s after they were sent. Change: an append without a response for 0.5 s makes the topic verify its contact, a conflict that names a later end makes the pending read count as lost once a slow store would have delivered the records (0.5 s instead of 1 s), and a verified contact is told to the other topic as a regained one is.

--- a/core/src/main/java/org/siskintiller/core/supply/ReadSchedule.java
+++ b/core/src/main/java/org/siskintiller/core/supply/ReadSchedule.java
@@ -30,12 +30,6 @@
     /** Responses may take this many times as long as the one before. */
     private static final long LATENESS_FACTOR = 2;
 
-    /**
-     * Time after which a read is overdue that does not deliver records which another companion knows. A store delivers them
-     * within some 100 ms.
-     */
-    private static final long MAX_DELIVERY_NS = 1_000_000_000L;
-
     /** Timeout of one read at a time, so that a path with a long delay succeeds. */
     private static final long PATIENT_TIMEOUT_MS = 7_200;
     /** Timeout of the others, which limits how many are pending. */
@@ -51,7 +45,10 @@
     private long latenessNs = MIN_LATENESS_NS;
     private long retryIntervalMs = MIN_RETRY_INTERVAL_MS;
     private boolean outOfReach;
-    private long outOfReachSinceNs;
+    /** Whether a call may have been lost, and no response has arrived since. */
+    private boolean doubtful;
+
+    private long doubtfulSinceNs;
     private long lastAnswerNs = Long.MIN_VALUE;
     /** Whether the latest read is overdue when the next one is due. */
     private boolean awaitsLatest;
@@ -90,10 +87,11 @@
             adaptLateness(read, nowNs);
         }
         lastAnswerNs = nowNs;
-        boolean isRegained = outOfReach;
+        boolean isRegained = doubtful;
         if (!isRegained && number != latest.number) {
             return Progress.UNCHANGED;
         }
+        doubtful = false;
         outOfReach = false;
         awaitsLatest = false;
         retryIntervalMs = MIN_RETRY_INTERVAL_MS;
@@ -134,23 +132,28 @@
      * them, the store is out of reach from now on, and a read is due.
      */
     public void newerRecordsKnown(long sinceNs, long nowNs) {
-        if (!outOfReach && isLatestPending() && nowNs - Math.max(sinceNs, latest.sentNs) >= MAX_DELIVERY_NS) {
+        if (!outOfReach && isLatestPending() && nowNs - Math.max(sinceNs, latest.sentNs) >= latenessNs) {
             lose(nowNs);
             dueNs = nowNs;
         }
     }
 
     /**
-     * Makes a read due that verifies the contact, because another topic of the store is within reach again. The latest read may
-     * have been lost in the same disturbance, unless the store has responded to this topic since.
+     * Makes a read due that verifies the contact, because another call to the store was lost. The latest read may have been lost
+     * in the same disturbance, unless the store has responded to this topic since.
      *
-     * @param lostSinceNs time at which the other topic went out of reach
+     * @param lostSinceNs time since which the store was out of reach for the other call
      */
     public void verify(long lostSinceNs, long nowNs) {
-        if (lastAnswerNs < lostSinceNs && (outOfReach || isLatestPending())) {
+        boolean verifiesAlready = !outOfReach && latest.waitMs == 0;
+        if (lastAnswerNs < lostSinceNs && !verifiesAlready && (outOfReach || isLatestPending())) {
             verifying = true;
             awaitsLatest = false;
             dueNs = nowNs;
+            if (!doubtful) {
+                doubtful = true;
+                doubtfulSinceNs = lostSinceNs;
+            }
         }
     }
 
@@ -183,9 +186,9 @@
         return outOfReach;
     }
 
-    /** Time at which the store went out of reach for the last time. */
-    public long outOfReachSinceNs() {
-        return outOfReachSinceNs;
+    /** Time since which calls were lost before the contact was regained for the last time. */
+    public long doubtfulSinceNs() {
+        return doubtfulSinceNs;
     }
 
     /** Time at which the latest read was sent. */
@@ -195,8 +198,11 @@
 
     private void lose(long nowNs) {
         outOfReach = true;
-        outOfReachSinceNs = nowNs;
         awaitsLatest = false;
+        if (!doubtful) {
+            doubtful = true;
+            doubtfulSinceNs = nowNs;
+        }
     }
 
     private boolean isLatestPending() {
@@ -234,7 +240,7 @@
         UNCHANGED,
         /** The next read is due after the minimum interval. */
         CONTINUES,
-        /** As before, and the store is within reach again. */
+        /** As before, and the store is within reach after calls were lost. */
         REGAINED
     }
 
--- a/core/src/test/java/org/siskintiller/core/supply/ReadScheduleTest.java
+++ b/core/src/test/java/org/siskintiller/core/supply/ReadScheduleTest.java
@@ -168,6 +168,18 @@
                     .isEqualTo(0);
         }
 
+        /** Guards against a lost read of a third topic, of which nobody is told since the verified one was never out of reach. */
+        @Test
+        void areToldOfAVerifiedContact() {
+            ReadSchedule schedule = new ReadSchedule();
+            schedule.send(MEAN_WAIT_MS, RETRY_MS, 0.5, 0);
+            schedule.verify(0, 1);
+            int number = schedule.send(MEAN_WAIT_MS, RETRY_MS, 0.5, 1).number();
+
+            assertThat(schedule.answered(number, 0, 2)).isEqualTo(ReadSchedule.Progress.REGAINED);
+            assertThat(schedule.doubtfulSinceNs()).isEqualTo(0);
+        }
+
         /** Guards against two topics that make each other read without end. */
         @Test
         void doNotDisturbOneThatWasAnsweredSince() {
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -120,6 +120,7 @@
         this.supply = supply;
         FleetReadPace pace = new FleetReadPace(supply, this::readWaitMs, supply::minReadIntervalMs);
         this.feed = feeds.create(StoreTopic.CONTROL, pace, new StoreRecords());
+        appender.observe(feed);
     }
 
     /** Starts to follow the store. Runs before the first companion connects. */
--- a/router/src/main/java/org/siskintiller/router/control/RecordAppender.java
+++ b/router/src/main/java/org/siskintiller/router/control/RecordAppender.java
@@ -5,6 +5,7 @@
 
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.store.AppendObserver;
 import org.siskintiller.router.store.RecordStore;
 import org.siskintiller.router.store.StoreResult;
 import org.siskintiller.router.store.StoreTopic;
@@ -16,11 +17,17 @@
 
     private final RecordStore store;
     private final Set<Call> pending = new LinkedHashSet<>();
+    private AppendObserver observer;
 
     RecordAppender(RecordStore store) {
         this.store = store;
     }
 
+    /** Sets what learns from the results of appends. Called before the first append. */
+    void observe(AppendObserver newObserver) {
+        observer = newObserver;
+    }
+
     void append(String key, byte[] value, long expectedEnd) {
         append(key, value, expectedEnd, () -> {});
     }
@@ -32,10 +39,14 @@
      */
     void append(String key, byte[] value, long expectedEnd, Runnable stored) {
         long nowNs = System.nanoTime();
-        // Idle connections may have failed together with those of the calls without a response.
-        if (pending.stream().anyMatch(call -> nowNs - call.sentNs >= MAX_RESPONSE_NS)) {
-            store.closeIdleConnections();
-        }
+        pending.stream()
+                .filter(earlier -> nowNs - earlier.sentNs >= MAX_RESPONSE_NS)
+                .findFirst()
+                .ifPresent(earlier -> {
+                    // Idle connections may have failed together with that of the earlier call.
+                    store.closeIdleConnections();
+                    observer.appendOverdue(earlier.sentNs);
+                });
         Call call = new Call(nowNs);
         pending.add(call);
         store.append(StoreTopic.CONTROL, expectedEnd, key, value, result -> {
@@ -50,6 +61,7 @@
     private void handleResult(String key, long expectedEnd, StoreResult<Long> result) {
         if (result instanceof StoreResult.Conflict<Long> conflict) {
             EventLog.log(LogEvent.STORE_APPEND_CONFLICT, "key", key, "at", expectedEnd, "end", conflict.end());
+            observer.endKnown(conflict.end());
             return;
         }
         if (result instanceof StoreResult.Success<Long>) {
--- a/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
+++ b/router/src/main/java/org/siskintiller/router/store/TopicFeed.java
@@ -11,7 +11,7 @@
 import org.siskintiller.node.LogEvent;
 
 /** Reads a topic continuously: the newest record of each key first, then every record as it is appended. */
-public final class TopicFeed {
+public final class TopicFeed implements AppendObserver {
     /** Interval at which a store that stays unavailable is logged again with the cause. */
     private static final long FAILURE_LOG_INTERVAL_NS = TimeUnit.SECONDS.toNanos(2);
     /** Time in which a record that another companion knows is passed on. After it, a paused feed reads itself. */
@@ -113,6 +113,20 @@
         }
     }
 
+    @Override
+    public void appendOverdue(long sentNs) {
+        if (!schedule.isOutOfReach()) {
+            verifyContact(sentNs);
+        }
+    }
+
+    @Override
+    public void endKnown(long end) {
+        if (hasPosition && end > nextOffset) {
+            newerRecordsExist();
+        }
+    }
+
     /** Verifies the contact unless the store has responded since the given time, at which it was out of reach for others. */
     void verifyContact(long lostSinceNs) {
         schedule.verify(lostSinceNs, System.nanoTime());
@@ -169,7 +183,7 @@
             }
             readIfDue("");
             if (progress == ReadSchedule.Progress.REGAINED) {
-                contactListener.accept(schedule.outOfReachSinceNs());
+                contactListener.accept(schedule.doubtfulSinceNs());
             }
             return;
         }
--- a/router/src/test/java/org/siskintiller/router/control/RecordAppenderTest.java
+++ b/router/src/test/java/org/siskintiller/router/control/RecordAppenderTest.java
@@ -2,8 +2,10 @@
 
 import java.util.function.Consumer;
 
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.siskintiller.router.store.AppendObserver;
 import org.siskintiller.router.store.RecordBatch;
 import org.siskintiller.router.store.RecordStore;
 import org.siskintiller.router.store.StoreResult;
@@ -17,6 +19,7 @@
 
     private final FakeStore store = new FakeStore();
     private final RecordAppender appender = new RecordAppender(store);
+    private final Recorder observer = new Recorder();
 
     @Nested
     class Unanswered {
@@ -28,6 +31,7 @@
             append();
 
             assertThat(store.closings).isEqualTo(1);
+            assertThat(observer.overdue).isEqualTo(1);
         }
     }
 
@@ -43,13 +47,46 @@
             append();
 
             assertThat(store.closings).isEqualTo(0);
+            assertThat(observer.overdue).isEqualTo(0);
         }
     }
 
+    @Nested
+    class Rejected {
+        /** Guards against a lost read that hides the records which an append has met. */
+        @Test
+        void tellsWhereTheTopicEnds() {
+            append();
+            store.result.accept(new StoreResult.Conflict<>(7));
+
+            assertThat(observer.end).isEqualTo(7);
+        }
+    }
+
+    @BeforeEach
+    void observe() {
+        appender.observe(observer);
+    }
+
     private void append() {
         appender.append("key", new byte[0], RecordStore.ANY_END);
     }
 
+    private static final class Recorder implements AppendObserver {
+        private int overdue;
+        private long end;
+
+        @Override
+        public void appendOverdue(long sentNs) {
+            overdue++;
+        }
+
+        @Override
+        public void endKnown(long newEnd) {
+            end = newEnd;
+        }
+    }
+
     /** Store that answers when the test says so. */
     private static final class FakeStore implements RecordStore {
         private Consumer<StoreResult<Long>> result;
