--- a/core/src/main/java/org/siskintiller/core/supply/ReadSchedule.java
+++ b/core/src/main/java/org/siskintiller/core/supply/ReadSchedule.java
@@ -163,11 +163,9 @@
     }
 
     /**
-     * Makes a read due that verifies the contact, at a random time within the interval: all companions that a reader supplied
-     * resume when it loses the store.
+     * Makes a read due at a random time within the interval: all companions that a reader supplied resume when it loses the store.
      */
     public void resume(long maxRetryIntervalMs, double random, long nowNs) {
-        verifying = true;
         awaitsLatest = false;
         dueNs = nowNs + Math.round(NS_PER_MS * maxRetryIntervalMs * random);
     }
