--- a/review/standins-2/StoreServer.java
+++ b/review/standins-2/StoreServer.java
@@ -20,6 +20,8 @@
     private final Map<String, List<byte[]>> topics = new HashMap<>();
     /** Whether every call is rejected with 503, as by a store that is down. */
     private boolean down;
+    /** Number of times that the store was restored from a copy, before the script began; 0 sends no header. */
+    private int era;
 
     StoreServer(String ip, int port) throws IOException {
         server = new ServerSocket(port, 200, InetAddress.getByName(ip));
@@ -38,6 +40,10 @@
         notifyAll();
     }
 
+    synchronized void setEra(int newEra) {
+        era = newEra;
+    }
+
     synchronized void setDown(boolean isDown) {
         down = isDown;
         notifyAll();
@@ -159,8 +165,12 @@
         respond(socket, "200 OK", json("{\"items\":[" + all + "],\"has-more\":false,\"end\":" + records.size() + "}"));
     }
 
-    private static void respond(Socket socket, String status, byte[] body) throws IOException {
-        Http.write(socket.getOutputStream(), "HTTP/1.1 " + status + "\r\n", body);
+    private synchronized String eraHeader() {
+        return era == 0 ? "" : "Store-Era: " + era + "\r\n";
+    }
+
+    private void respond(Socket socket, String status, byte[] body) throws IOException {
+        Http.write(socket.getOutputStream(), "HTTP/1.1 " + status + "\r\n" + eraHeader(), body);
     }
 
     private List<byte[]> topic(String name) {
--- a/review/standins-2/Upstream.java
+++ b/review/standins-2/Upstream.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -16,6 +17,8 @@
 class Upstream {
     static final int SLOTS = 12;
     private static final int HEARTBEAT_MS = 870;
+    private static final int RELEASING_HEARTBEAT_MS = 90;
+    private static final int MAX_ANSWER_BYTES = 4_096;
     private static final Pattern ROW =
             Pattern.compile("\\[(\\d+),(\\d+),(\\d+),\"([^\"]*)\"\\]");
     private static final Pattern HOLD_MS = Pattern.compile("\"hold-ms\":(\\d+)");
@@ -34,6 +37,16 @@
     private volatile List<long[]> rows = List.of();
     private volatile long holdEndNs;
     private long sequence;
+    /** Keys of the requests that run. */
+    private final Map<String, Integer> runningKeys = new ConcurrentHashMap<>();
+    /** Ranges that were taken back while requests may still run on their keys. */
+    private final List<long[]> releasing = new ArrayList<>();
+    /** Ranges that were released since the last acknowledged heartbeat, as rows with their handover tokens. */
+    private final List<String> released = new ArrayList<>();
+    /** Size of the last answer to a heartbeat, which acknowledges it only up to 4 KiB. */
+    volatile int answerBytes;
+
+    volatile long lastAcknowledgedNs = System.nanoTime();
 
     Upstream(String id, String ip, String service, boolean sharded, int port, int controlPort) throws IOException {
         this.id = id;
@@ -145,11 +158,15 @@
                     new byte[0]);
         }
         running.incrementAndGet();
+        if (sharded) {
+            runningKeys.put(requestId, Integer.parseInt(keyText));
+        }
         try {
             Lab.ran(requestId, this, request);
             Thread.sleep(workMs(request));
         } finally {
             running.decrementAndGet();
+            runningKeys.remove(requestId);
         }
         String head = "HTTP/1.1 200 OK\r\n" + common + "X-Siskintiller-Response-Seal: seal-" + id + "-" + requestId
                 + "\r\n" + load();
@@ -172,13 +189,19 @@
                         "POST " + path + " HTTP/1.1\r\nHost: " + ip + "\r\nContent-Type: application/json\r\n",
                         heartbeat().getBytes(StandardCharsets.UTF_8));
                 Http.Message answer = Http.read(socket.getInputStream());
-                if (answer != null && answer.status() == 200) {
-                    applyAnswer(new String(answer.body(), StandardCharsets.UTF_8), sentNs);
+                boolean isTimely = System.nanoTime() - sentNs < 1_000_000_000L;
+                if (answer != null && answer.status() == 200 && isTimely) {
+                    answerBytes = answer.body().length;
+                    if (answerBytes <= MAX_ANSWER_BYTES) {
+                        lastAcknowledgedNs = System.nanoTime();
+                        released.clear();
+                        applyAnswer(new String(answer.body(), StandardCharsets.UTF_8), sentNs);
+                    }
                 }
             } catch (IOException e) {
                 // The companion is down or late. The next heartbeat follows.
             }
-            Thread.sleep(HEARTBEAT_MS);
+            Thread.sleep(releasing.isEmpty() ? HEARTBEAT_MS : RELEASING_HEARTBEAT_MS);
         }
     }
 
@@ -187,7 +210,16 @@
         for (long[] row : System.nanoTime() < holdEndNs ? rows : List.<long[]>of()) {
             holds.add("[" + row[0] + "," + row[1] + "," + row[2] + "]");
         }
-        String lists = sharded ? ",\"holds\":[" + String.join(",", holds) + "],\"released\":[]" : "";
+        for (long[] row : List.copyOf(releasing)) {
+            if (runningKeys.values().stream().anyMatch(key -> row[0] <= key && key <= row[1])) {
+                holds.add("[" + row[0] + "," + row[1] + "," + row[2] + "]");
+            } else {
+                releasing.remove(row);
+                String token = String.format("%016x", java.util.concurrent.ThreadLocalRandom.current().nextLong());
+                released.add("[" + row[0] + "," + row[1] + ",\"" + token + "\"]");
+            }
+        }
+        String lists = sharded ? ",\"holds\":[" + String.join(",", holds) + "],\"released\":[" + String.join(",", released) + "]" : "";
         return "{\"address\":\"" + ip + ":" + port + "\",\"born\":" + born + ",\"info\":{\"service\":\"" + service
                 + "\",\"version\":\"v1\",\"zone\":\"z\",\"slots\":" + SLOTS + "},\"status\":{\"state\":\"ready\",\"seq\":"
                 + ++sequence + ",\"cold-remaining-ms\":0}" + lists + "}";
@@ -205,7 +237,29 @@
                 Long.parseLong(row.group(1)), Long.parseLong(row.group(2)), Long.parseLong(row.group(3))
             });
         }
+        if (System.nanoTime() < holdEndNs) {
+            for (long[] held : rows) {
+                addOmitted(held, granted);
+            }
+        }
         holdEndNs = sentNs + Long.parseLong(hold.group(1)) * 1_000_000;
         rows = List.copyOf(granted);
     }
+
+    /** Adds the parts of a row that the new rows leave out to those that are being released. */
+    private void addOmitted(long[] row, List<long[]> granted) {
+        long next = row[0];
+        for (long[] other : granted) {
+            if (other[1] < next || other[0] > row[1]) {
+                continue;
+            }
+            if (other[0] > next) {
+                releasing.add(new long[] {next, other[0] - 1, row[2]});
+            }
+            next = Math.max(next, other[1] + 1);
+        }
+        if (next <= row[1]) {
+            releasing.add(new long[] {next, row[1], row[2]});
+        }
+    }
 }
