Verify who answers at the address of a companion

Cause: a companion took any other one at the address of a member for that member; the gate compared the key of a request, but not its service; the member record of the lost machine stayed in force beside the newer one with the same address.

Change: both sides of a connection introduce their instance and process before anything else is accepted, and the side that connected names the process that it has verified. A process that was replaced is kept out. The gate refuses requests for another service as not run. Of two members with one address the one with the newer record is in force. A response counts only on the connection of its request, since frames of a closed one may still arrive.

Why this works: the ends of a TCP connection are two processes, so that one proof at its beginning covers all that follows, without bytes for each request.

Tests of frames in PeerClientTest and IncomingBodyTest send and expect the introduction now; their checks are unchanged.

--- a/node/src/main/java/org/siskintiller/node/LogEvent.java
+++ b/node/src/main/java/org/siskintiller/node/LogEvent.java
@@ -83,6 +83,11 @@
             "report it; the outcome of the request is reported as unknown"),
     PEER_UNREACHABLE(1306, Level.DEBUG, "address of a companion unknown", "none; the message is sent again"),
     DATAGRAM_MALFORMED(1307, Level.WARN, "malformed datagram dropped", "check which process sends to the peer port"),
+    PEER_NOT_EXPECTED(
+            1308,
+            Level.WARN,
+            "another process than the expected one at the other end of a connection between companions; connection closed",
+            "none if the address was given to another machine or a process has restarted; else check the addresses"),
 
     BACKEND_ANNOUNCED(1401, Level.INFO, "backend server announced itself", "none"),
     BACKEND_ANNOUNCEMENT_INVALID(1402, Level.WARN, "invalid announcement", "correct the backend server"),
--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -102,6 +102,7 @@
         long nowNs = System.nanoTime();
         Member self =
                 new Member(settings.instance(), settings.companions(), settings.failureDomain(), settings.service());
+        ControlSettings controlSettings = new ControlSettings(self, new Incarnation(new SecureRandom().nextLong()));
         HeldKeys keys = new HeldKeys(new KeyHolder(settings.holdMaxMs(), nowNs), new KeyRates());
         BackendPresence presence = new BackendPresence(settings.drainMs());
         CrashDetector crashes = new CrashDetector();
@@ -115,7 +116,7 @@
         LinkPacer pacer = new LinkPacer(loop, settings.linkBytesPerSecond());
         metrics.gauge("link.request_bytes_waiting", () -> pacer::waitingRequestBytes);
         BufferMemory memory = new BufferMemory(loop, metrics);
-        PeerDirectory peers = new PeerDirectory(self, pacer, state, gate, intervals, metrics);
+        PeerDirectory peers = new PeerDirectory(controlSettings, pacer, state, gate, intervals, metrics);
         this.router = new RequestRouter(loop, lag, names, settings.router(), peers, gate::runs, metrics);
         StoreSupply supply = new StoreSupply(self, state, peers, metrics);
         StoreFeeds feeds = new StoreFeeds(store, loop);
@@ -125,7 +126,7 @@
         config.onApply(this::configureColdLimit);
         router.setConfigDelay(config::behindMs);
         this.control = new ControlDriver(
-                new ControlSettings(self, new Incarnation(new SecureRandom().nextLong())),
+                controlSettings,
                 feeds,
                 loop,
                 state,
@@ -133,8 +134,14 @@
                 supply,
                 new LocalBackend(gate, presence, crashes, keys, delivery(keys.holder(), orderCodec)));
         peers.listen(control);
-        this.peerServer =
-                new PeerServer(loop, lag, gate, control, pacer, memory.requests(), settings.linkBytesPerSecond());
+        this.peerServer = new PeerServer(
+                controlSettings.identity(),
+                lag,
+                gate,
+                control,
+                pacer,
+                memory.requests(),
+                settings.linkBytesPerSecond());
         this.callerServer = new CallerServer(loop, lag, router, this::callerLimits, memory);
         this.readinessServer = new CallerServer(loop, lag, this::ready, () -> LOCAL_LIMITS);
         CallerHandler heartbeatHandler = new HeartbeatHandler(heartbeatCodec, gate, control);
--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -172,9 +172,9 @@
         return check.isAvailable(nowNs);
     }
 
-    /** Whether all new requests are refused at present, so that their bodies need not be read. */
-    public boolean refusesAll(long nowNs) {
-        return check.refusesAll(nowNs);
+    /** Whether all new requests for the service are refused at present, so that their bodies need not be read. */
+    public boolean refusesAll(String service, long nowNs) {
+        return check.refusesAll(service, nowNs);
     }
 
     public BackendLoad load() {
@@ -217,13 +217,14 @@
         ForwardedRequest request = newRequest.endingBy(latestDeadlineNs);
         long nowNs = System.nanoTime();
         GateCall call = new GateCall(this, request, listener, QueuePlace.of(request, nowNs), sequence++, nowNs);
-        if (request.key() != ForwardedRequest.NO_KEY && keys.holder().isAssigned(request.key())) {
-            keys.rates().count(request.key());
-        }
         RefusalReason reason = check.reason(request, false, nowNs);
-        boolean grantExpected = reason == RefusalReason.NOT_HOLDER
-                && presence.isAvailable(nowNs)
+        boolean isAssigned = request.key() != ForwardedRequest.NO_KEY
+                && reason != RefusalReason.OTHER_SERVICE
                 && keys.holder().isAssigned(request.key());
+        if (isAssigned) {
+            keys.rates().count(request.key());
+        }
+        boolean grantExpected = isAssigned && reason == RefusalReason.NOT_HOLDER && presence.isAvailable(nowNs);
         if (grantExpected) {
             grantWaiters.add(call);
             scheduleSweep();
--- a/router/src/main/java/org/siskintiller/router/backend/SendCheck.java
+++ b/router/src/main/java/org/siskintiller/router/backend/SendCheck.java
@@ -49,9 +49,10 @@
                 && !cold.unknown();
     }
 
-    /** Whether all new requests are refused at present, whatever their key. */
-    boolean refusesAll(long nowNs) {
+    /** Whether all new requests for the service are refused at present, whatever their key. */
+    boolean refusesAll(String service, long nowNs) {
         return !isOpen
+                || !serves(service)
                 || nowNs < unreachableUntilNs
                 || cold.unknown()
                 || stopping
@@ -59,11 +60,19 @@
                 || evacuation.refuses(true, nowNs);
     }
 
+    /** Whether requests for the service are for this backend server. Names and addresses of others prove nothing. */
+    private boolean serves(String service) {
+        return presence.known() && presence.current().service().equals(service);
+    }
+
     /** Returns why the request cannot be sent to the backend server now, or null. */
     RefusalReason reason(ForwardedRequest request, boolean isQueued, long nowNs) {
         if (!isOpen || !presence.known() || nowNs < unreachableUntilNs || cold.unknown()) {
             return RefusalReason.NO_BACKEND;
         }
+        if (!serves(request.service())) {
+            return RefusalReason.OTHER_SERVICE;
+        }
         if (!presence.accepts(nowNs) || stopping && !isQueued) {
             return RefusalReason.LEAVING;
         }
--- a/router/src/main/java/org/siskintiller/router/control/ControlSettings.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlSettings.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 
 import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.router.peer.PeerIdentity;
 
 /**
  * Identity of this companion.
@@ -13,5 +14,11 @@
 
     public ControlSettings {
         Objects.requireNonNull(self, "self");
+        Objects.requireNonNull(incarnation, "incarnation");
+    }
+
+    /** Identity towards other companions. */
+    public PeerIdentity identity() {
+        return new PeerIdentity(self.instance(), incarnation);
     }
 }
--- a/router/src/main/java/org/siskintiller/router/control/ControlState.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlState.java
@@ -14,6 +14,7 @@
 import org.siskintiller.core.evacuation.EvacuatedDomains;
 import org.siskintiller.core.keyrange.KeyTable;
 import org.siskintiller.core.lease.StoreEra;
+import org.siskintiller.core.model.Address;
 import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.path.BackendLeaves;
 import org.siskintiller.core.quarantine.RecordedLoss;
@@ -25,6 +26,9 @@
 public final class ControlState {
     private final Map<String, StoredRecord> newest = new HashMap<>();
     private final TreeMap<String, Member> members = new TreeMap<>();
+    /** Instance in force at each address. */
+    private final Map<Address, String> instances = new HashMap<>();
+
     private final Map<String, KeyTable> tables = new HashMap<>();
     /** Records of the tables by key. One of an earlier era stays here until a table with a higher fence is read. */
     private final Map<String, StoredRecord> tableRecords = new HashMap<>();
@@ -121,6 +125,7 @@
         return authority.term() == 0 && tables.isEmpty();
     }
 
+    /** Members in force. One whose address a newer record gives to another instance is not, until it registers again. */
     public Map<String, Member> members() {
         return members;
     }
@@ -239,6 +244,27 @@
         return isNewer(record) || !known.equals(leaves(instance));
     }
 
+    /** Puts a member in force unless a newer record has given its address to another one, and in the place of an older one. */
+    private void updateMember(Member member, StoredRecord record) {
+        removeMember(member.instance());
+        String other = instances.get(member.address());
+        if (other != null && newest.get(ControlRecords.memberKey(other)).isAfter(record)) {
+            return;
+        }
+        if (other != null) {
+            members.remove(other);
+        }
+        instances.put(member.address(), member.instance());
+        members.put(member.instance(), member);
+    }
+
+    private void removeMember(String instance) {
+        Member removed = members.remove(instance);
+        if (removed != null) {
+            instances.remove(removed.address());
+        }
+    }
+
     private void update(StoredRecord record) throws InvalidProtocolBufferException {
         String key = record.key();
         if (key.equals(ControlRecords.AUTHORITY_KEY)) {
@@ -249,11 +275,11 @@
         } else if (key.startsWith(ControlRecords.MEMBER_PREFIX)) {
             String instance = key.substring(ControlRecords.MEMBER_PREFIX.length());
             if (record.value().length == 0) {
-                members.remove(instance);
+                removeMember(instance);
             } else {
                 Member member = ControlRecords.decodeMember(record.value());
                 ControlRecords.requireNames(instance, member.instance());
-                members.put(instance, member);
+                updateMember(member, record);
             }
         } else if (key.startsWith(ControlRecords.LOSSES_PREFIX)) {
             String instance = key.substring(ControlRecords.LOSSES_PREFIX.length());
--- a/router/src/main/java/org/siskintiller/router/control/PeerDirectory.java
+++ b/router/src/main/java/org/siskintiller/router/control/PeerDirectory.java
@@ -22,6 +22,7 @@
 import org.siskintiller.router.peer.LinkPacer;
 import org.siskintiller.router.peer.PeerClient;
 import org.siskintiller.router.peer.PeerEvents;
+import org.siskintiller.router.peer.PeerIdentity;
 import org.siskintiller.router.peer.PeerStatus;
 import org.siskintiller.router.request.Backends;
 import org.siskintiller.router.request.Destination;
@@ -41,6 +42,7 @@
     private static final double NEWEST_RESULT_WEIGHT = 0.1;
 
     private final String self;
+    private final PeerIdentity identity;
     private final String ownDomain;
     private final String ownService;
     private final LinkPacer pacer;
@@ -53,15 +55,17 @@
     private PeerEvents events;
 
     public PeerDirectory(
-            Member self,
+            ControlSettings settings,
             LinkPacer pacer,
             ControlState state,
             BackendGate gate,
             FleetIntervals intervals,
             MetricRegistry metrics) {
-        this.self = self.instance();
-        this.ownDomain = self.failureDomain();
-        this.ownService = self.service();
+        Member member = settings.self();
+        this.self = member.instance();
+        this.identity = settings.identity();
+        this.ownDomain = member.failureDomain();
+        this.ownService = member.service();
         this.pacer = pacer;
         this.state = state;
         this.gate = gate;
@@ -82,7 +86,7 @@
             }
             PeerClient client = clients.get(member.instance());
             if (client == null) {
-                client = new PeerClient(self, member.instance(), member.address(), intervals, pacer, events);
+                client = new PeerClient(identity, member.instance(), member.address(), intervals, pacer, events);
                 clients.put(member.instance(), client);
                 client.connect();
             } else {
--- a/router/src/main/java/org/siskintiller/router/peer/IncomingBody.java
+++ b/router/src/main/java/org/siskintiller/router/peer/IncomingBody.java
@@ -55,6 +55,11 @@
         return credit.isComplete();
     }
 
+    /** Service that the request is for. */
+    String service() {
+        return head.service();
+    }
+
     long deadlineNs() {
         return head.deadlineNs();
     }
--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -32,7 +32,8 @@
 import org.siskintiller.wire.companion.CompanionProto.Frame;
 
 /**
- * Connection to another companion, established again whenever it is lost. A connection on which nothing arrives is
+ * Connection to another companion, established again whenever it is lost. It is used only when the other side has introduced
+ * itself as that companion, since its address may belong to another one by now. A connection on which nothing arrives is
  * closed, because a link can fail without a reset.
  */
 public final class PeerClient implements Destination {
@@ -55,8 +56,11 @@
     private static final long CLOSE_AFTER_NS = 1_400_000_000L;
 
     private static final String LOST = "lost its connection";
+    private static final Frame STATUS_REQUEST = Frame.newBuilder()
+            .setHello(CompanionProto.Hello.getDefaultInstance())
+            .build();
 
-    private final String self;
+    private final PeerIdentity self;
     private final String instance;
     private final EventLoop loop;
     private final FleetIntervals intervals;
@@ -64,7 +68,9 @@
     private final PeerStreams streams;
     private Address address;
     private Channel channel;
+    /** Whether the companion has introduced itself on the channel. */
     private boolean connected;
+
     private PeerStatus status;
     private final ServerView view = new ServerView();
     private long knownPosition;
@@ -77,7 +83,7 @@
     private boolean closed;
 
     public PeerClient(
-            String self,
+            PeerIdentity self,
             String instance,
             Address address,
             FleetIntervals intervals,
@@ -168,7 +174,7 @@
     /** Closes a connection on which nothing has been received for too long. */
     public void closeIfSilent(long nowNs) {
         boolean hasTimedOut = statusRequestedNs != 0 && nowNs - statusRequestedNs > CLOSE_AFTER_NS;
-        if (connected && (hasTimedOut || nowNs - lastReceivedNs > intervals.silentAfterNs())) {
+        if (channel != null && (hasTimedOut || nowNs - lastReceivedNs > intervals.silentAfterNs())) {
             EventLog.log(LogEvent.PEER_CONNECT_FAILED, "peer", instance, "cause", "no frame received in time");
             detachOrClose(nowNs);
         }
@@ -261,19 +267,13 @@
         long nowNs = System.nanoTime();
         if (statusRequestedNs == 0 && nowNs - lastReceivedNs > REQUEST_STATUS_AFTER_NS) {
             statusRequestedNs = nowNs;
-            write(hello());
+            write(STATUS_REQUEST);
         }
         PeerStreams.Stream stream = streams.begin(request, listener, channel);
         write(Frames.request(stream.id(), request, nowNs));
         return stream;
     }
 
-    private Frame hello() {
-        return Frame.newBuilder()
-                .setHello(CompanionProto.Hello.newBuilder().setInstance(self))
-                .build();
-    }
-
     private void write(Frame frame) {
         if (connected) {
             channel.writeAndFlush(frame);
@@ -286,32 +286,53 @@
         }
     }
 
-    private void received(Frame frame) {
+    /** Begins to use the connection if the first frame proves that the companion answers, and closes it otherwise. */
+    private void introduced(Frame frame) {
+        PeerIdentity peer = PeerIdentity.of(frame.getHello());
+        if (!peer.isComplete() || !peer.instance().equals(instance)) {
+            EventLog.log(
+                    LogEvent.PEER_NOT_EXPECTED,
+                    "peer",
+                    instance,
+                    "address",
+                    address,
+                    "answered",
+                    peer.instance(),
+                    "frame",
+                    String.valueOf(frame.getKindCase()));
+            closeChannel();
+            return;
+        }
+        connected = true;
+        write(self.introductionTo(peer.process()));
+    }
+
+    private void received(Channel via, Frame frame) {
         switch (frame.getKindCase()) {
             case STATUS -> status(frame.getStatus());
             case RESPONSE_START -> {
                 updateLoad(frame.getResponseStart().getLoad());
-                PeerStreams.Stream stream = streams.get(frame.getResponseStart().getStream());
+                PeerStreams.Stream stream = streams.get(frame.getResponseStart().getStream(), via);
                 if (stream != null) {
                     stream.listener().started(Frames.responseStart(frame.getResponseStart()));
                 }
             }
-            case RESPONSE_DATA -> data(frame.getResponseData());
+            case RESPONSE_DATA -> data(via, frame.getResponseData());
             case CREDIT -> {
-                PeerStreams.Stream stream = streams.get(frame.getCredit().getStream());
+                PeerStreams.Stream stream = streams.get(frame.getCredit().getStream(), via);
                 if (stream != null) {
                     stream.creditBody(frame.getCredit().getBytes());
                 }
             }
             case REFUSAL -> {
-                PeerStreams.Stream stream = streams.remove(frame.getRefusal().getStream());
+                PeerStreams.Stream stream = streams.remove(frame.getRefusal().getStream(), via);
                 updateLoad(frame.getRefusal().getLoad());
                 if (stream != null) {
                     stream.listener().refused(Frames.refusal(frame.getRefusal()));
                 }
             }
             case FAILURE -> {
-                PeerStreams.Stream stream = streams.remove(frame.getFailure().getStream());
+                PeerStreams.Stream stream = streams.remove(frame.getFailure().getStream(), via);
                 updateLoad(frame.getFailure().getLoad());
                 if (stream != null) {
                     stream.listener()
@@ -343,19 +364,7 @@
     private void status(CompanionProto.Status frame) {
         updateLoad(frame.getLoad());
         boolean isFirst = status == null;
-        status = new PeerStatus(
-                frame.getService(),
-                frame.getServing(),
-                view.load(),
-                frame.getConfigVersion(),
-                frame.getRecordsEnd(),
-                frame.getHearsAuthority(),
-                frame.getStoreAgeMs(),
-                !frame.getStoreOutOfReach(),
-                frame.getConfigUpdateBytes(),
-                EvacuationCodec.decode(frame.getEvacuationsList()),
-                frame.getColdMs(),
-                frame.getStoreEra());
+        status = StatusCodec.decode(frame, view.load());
         if (isFirst) {
             connector.resetInterval();
             EventLog.log(LogEvent.PEER_CONNECTED, "peer", instance, "address", address);
@@ -369,8 +378,8 @@
         sentSinceReport = 0;
     }
 
-    private void data(CompanionProto.ResponseData frame) {
-        PeerStreams.Stream stream = streams.get(frame.getStream());
+    private void data(Channel via, CompanionProto.ResponseData frame) {
+        PeerStreams.Stream stream = streams.get(frame.getStream(), via);
         if (stream == null) {
             return;
         }
@@ -382,7 +391,7 @@
             return;
         }
         if (frame.getLast()) {
-            streams.remove(frame.getStream());
+            streams.remove(frame.getStream(), via);
         }
         stream.listener().data(frame.getData().toByteArray(), frame.getLast());
     }
@@ -419,25 +428,27 @@
     private final class FrameReader extends SimpleChannelInboundHandler<Frame> {
         @Override
         public void channelActive(ChannelHandlerContext context) {
-            if (connected || closed) {
+            if (channel != null || closed) {
                 context.close();
                 return;
             }
             channel = context.channel();
             lastReceivedNs = System.nanoTime();
             statusRequestedNs = 0;
-            connected = true;
-            context.writeAndFlush(hello());
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, Frame frame) {
-            if (context.channel() == channel) {
+            Channel via = context.channel();
+            boolean isCurrent = via == channel;
+            if (isCurrent) {
                 lastReceivedNs = System.nanoTime();
                 statusRequestedNs = 0;
-                received(frame);
-            } else if (RESPONSE_KINDS.contains(frame.getKindCase())) {
-                received(frame);
+            }
+            if (isCurrent && !connected) {
+                introduced(frame);
+            } else if (isCurrent || RESPONSE_KINDS.contains(frame.getKindCase())) {
+                received(via, frame);
             }
         }
 
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -20,6 +20,7 @@
 import org.siskintiller.core.balance.BackendLoad;
 import org.siskintiller.core.model.Address;
 import org.siskintiller.core.path.LinkForecast;
+import org.siskintiller.core.path.PeerProcesses;
 import org.siskintiller.core.path.RequestKind;
 import org.siskintiller.core.path.RequestMemory;
 import org.siskintiller.node.EventLog;
@@ -42,6 +43,7 @@
     /** Retry-After of requests for whose bodies there is no memory: most requests end within this time. */
     private static final long MEMORY_RETRY_AFTER_MS = 250;
 
+    private final PeerIdentity self;
     private final EventLoop loop;
     private final LoopLag lag;
     private final BackendGate gate;
@@ -53,17 +55,20 @@
     private final RequestMemory memory;
     private final long linkBytesPerSecond;
     private final Set<Connection> connections = new HashSet<>();
+    private final PeerProcesses processes = new PeerProcesses();
+    private long acceptedConnections;
     private Channel server;
 
     public PeerServer(
-            EventLoop loop,
+            PeerIdentity self,
             LoopLag lag,
             BackendGate gate,
             PeerEvents events,
             LinkPacer pacer,
             RequestMemory memory,
             long linkBytesPerSecond) {
-        this.loop = loop;
+        this.self = self;
+        this.loop = pacer.loop();
         this.lag = lag;
         this.gate = gate;
         this.events = events;
@@ -89,7 +94,7 @@
 
     /** Sends the status of this companion to all connected ones. */
     public void publishStatus() {
-        Frame frame = statusFrame(events.status());
+        Frame frame = StatusCodec.frame(events.status());
         for (Connection connection : connections) {
             connection.channel.writeAndFlush(frame);
         }
@@ -104,34 +109,41 @@
         server.close();
     }
 
-    private static Frame statusFrame(PeerStatus status) {
-        return Frame.newBuilder()
-                .setStatus(CompanionProto.Status.newBuilder()
-                        .setService(status.service())
-                        .setServing(status.serving())
-                        .setLoad(Frames.load(status.load()))
-                        .setConfigVersion(status.configVersion())
-                        .setRecordsEnd(status.recordsEnd())
-                        .setHearsAuthority(status.authorityResponsive())
-                        .setStoreAgeMs((int) Math.min(Integer.MAX_VALUE, status.storeAgeMs()))
-                        .setStoreOutOfReach(!status.reachesStore())
-                        .setConfigUpdateBytes(status.configUpdateBytes())
-                        .setColdMs((int) Math.min(Integer.MAX_VALUE, status.coldMs()))
-                        .addAllEvacuations(EvacuationCodec.encode(status.evacuations()))
-                        .setStoreEra(status.storeEra()))
-                .build();
+    /** Closes the connections of earlier processes of an instance. What they sent last may still arrive on them. */
+    private void closeEarlierProcesses(PeerIdentity successor) {
+        for (Connection connection : List.copyOf(connections)) {
+            boolean isEarlier = connection.isIntroduced()
+                    && connection.peer.instance().equals(successor.instance())
+                    && !connection.peer.equals(successor);
+            if (isEarlier) {
+                connection.channel.close();
+            }
+        }
     }
 
     private final class Connection extends SimpleChannelInboundHandler<Frame> {
         private final Map<Integer, Stream> streams = new HashMap<>();
         private Channel channel;
-        private String instance = "";
+        /** Number of the connection in the order in which they were accepted. */
+        private long number;
+        /** Process at the other end; null until it has introduced itself. */
+        private PeerIdentity peer;
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
             channel = context.channel();
+            number = ++acceptedConnections;
             connections.add(this);
-            channel.writeAndFlush(statusFrame(events.status()));
+            channel.write(self.introduction());
+            channel.writeAndFlush(StatusCodec.frame(events.status()));
+        }
+
+        private boolean isIntroduced() {
+            return peer != null;
+        }
+
+        private String instance() {
+            return isIntroduced() ? peer.instance() : "";
         }
 
         @Override
@@ -144,14 +156,22 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            EventLog.log(LogEvent.PEER_MALFORMED, "peer", instance, "cause", String.valueOf(cause.getMessage()));
+            EventLog.log(LogEvent.PEER_MALFORMED, "peer", instance(), "cause", String.valueOf(cause.getMessage()));
             context.close();
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+            if (!channel.isOpen()) {
+                return;
+            }
+            if (!isIntroduced()) {
+                introduced(frame);
+                return;
+            }
             switch (frame.getKindCase()) {
-                case HELLO -> helloReceived(frame.getHello().getInstance());
+                // One that follows the introduction asks for the status.
+                case HELLO -> channel.writeAndFlush(StatusCodec.frame(events.status()));
                 case REQUEST -> request(frame.getRequest());
                 case REQUEST_DATA -> requestData(frame.getRequestData());
                 case CANCEL -> cancel(frame.getCancel().getStream());
@@ -163,13 +183,14 @@
                 }
                 case RENEWAL -> {
                     CompanionProto.Renewal renewal = frame.getRenewal();
-                    events.renewalReceived(Frames.renewal(renewal, instance), renewal.getTerm(), renewal.getSequence())
+                    events.renewalReceived(
+                                    Frames.renewal(renewal, instance()), renewal.getTerm(), renewal.getSequence())
                             .ifPresent(reply -> channel.writeAndFlush(Frames.leaseReply(reply)));
                 }
                 case SHARED_CONFIG -> {
                     CompanionProto.SharedConfig config = frame.getSharedConfig();
                     Frames.configUpdate(config)
-                            .ifPresent(update -> events.configReceived(update, config.getRelayToList(), instance));
+                            .ifPresent(update -> events.configReceived(update, config.getRelayToList(), instance()));
                 }
                 case CONFIG_REQUEST ->
                     events.configRequested(frame.getConfigRequest().getVersion())
@@ -186,7 +207,7 @@
                 }
                 case EVACUATIONS ->
                     events.evacuationsReceived(
-                            EvacuationCodec.decode(frame.getEvacuations().getEvacuationsList()), instance);
+                            EvacuationCodec.decode(frame.getEvacuations().getEvacuationsList()), instance());
                 case SUSPICIONS -> events.suspicionsReceived(Frames.suspicions(frame.getSuspicions()));
                 case RESIGNATION -> {
                     if (events.resignationRequested(frame.getResignation().getTerm())) {
@@ -199,16 +220,36 @@
                 }
                 default ->
                     EventLog.log(
-                            LogEvent.PEER_MALFORMED, "peer", instance, "frame", String.valueOf(frame.getKindCase()));
+                            LogEvent.PEER_MALFORMED, "peer", instance(), "frame", String.valueOf(frame.getKindCase()));
             }
         }
 
-        /** Handles a hello frame. A repeated one requests the status. */
-        private void helloReceived(String sender) {
-            if (instance.equals(sender)) {
-                channel.writeAndFlush(statusFrame(events.status()));
+        /** Accepts a process that is in force and means this one. Closes the connection of any other. */
+        private void introduced(Frame frame) {
+            PeerIdentity identity = PeerIdentity.of(frame.getHello());
+            boolean isMeant = identity.isComplete()
+                    && frame.getHello().getReceiver() == self.process().id();
+            PeerProcesses.Standing standing = isMeant
+                    ? processes.introduced(identity.instance(), identity.process(), number)
+                    : PeerProcesses.Standing.ENDED;
+            if (standing == PeerProcesses.Standing.ENDED) {
+                EventLog.log(
+                        LogEvent.PEER_NOT_EXPECTED,
+                        "peer",
+                        identity.instance(),
+                        "process",
+                        identity.process(),
+                        "meant_for_this_process",
+                        isMeant,
+                        "frame",
+                        String.valueOf(frame.getKindCase()));
+                channel.close();
+                return;
+            }
+            peer = identity;
+            if (standing == PeerProcesses.Standing.SUCCESSOR) {
+                closeEarlierProcesses(identity);
             }
-            instance = sender;
         }
 
         private void request(CompanionProto.Request request) {
@@ -241,7 +282,7 @@
             if (stream.body.isComplete()) {
                 ForwardedRequest request = stream.takeBody().request();
                 lag.runAfterPendingReads(() -> send(request, stream));
-            } else if (gate.refusesAll(System.nanoTime())) {
+            } else if (gate.refusesAll(stream.body.service(), System.nanoTime())) {
                 stream.refused(new Refusal(RefusalReason.LEAVING, 0, false));
             }
         }
@@ -369,7 +410,7 @@
         /** Lets the body follow. A body that is not complete at the deadline is dropped; its request has not run. */
         private void awaitBody(ForwardedRequest head, int length) {
             long nowNs = System.nanoTime();
-            if (gate.refusesAll(nowNs)) {
+            if (gate.refusesAll(head.service(), nowNs)) {
                 refused(new Refusal(RefusalReason.NO_BACKEND, 0, false));
                 return;
             }
--- a/router/src/main/java/org/siskintiller/router/peer/PeerStreams.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerStreams.java
@@ -46,13 +46,18 @@
         return streams.values();
     }
 
-    /** Returns the stream with the id, or null if it has ended. */
-    Stream get(int id) {
-        return streams.get(id);
+    /** Returns the stream with the id, or null if it has ended or was not sent on the connection. */
+    Stream get(int id, Channel via) {
+        Stream stream = streams.get(id);
+        return stream != null && stream.via == via ? stream : null;
     }
 
-    /** Removes a stream and drops what was not sent of its body. Returns null if it has ended. */
-    Stream remove(int id) {
+    /** Removes a stream and drops what was not sent of its body. Returns null as {@link #get} does. */
+    Stream remove(int id, Channel via) {
+        return get(id, via) == null ? null : remove(id);
+    }
+
+    private Stream remove(int id) {
         Stream stream = streams.remove(id);
         if (stream != null && stream.body != null) {
             stream.body.drop();
--- a/router/src/main/java/org/siskintiller/router/request/AttemptPolicy.java
+++ b/router/src/main/java/org/siskintiller/router/request/AttemptPolicy.java
@@ -25,7 +25,7 @@
             case QUARANTINED, EXPIRED -> Next.REFUSE;
             case NOT_HOLDER -> Next.PARK;
             case OVERLOADED, REJECTED -> keyed || companionsTried >= MAX_COMPANIONS ? Next.REFUSE : Next.ANOTHER;
-            case LEAVING, NO_BACKEND, UNREACHABLE, EVACUATED -> afterUnavailable(keyed, companionsTried);
+            case LEAVING, NO_BACKEND, UNREACHABLE, EVACUATED, OTHER_SERVICE -> afterUnavailable(keyed, companionsTried);
         };
     }
 
--- a/router/src/main/java/org/siskintiller/router/request/RefusalReason.java
+++ b/router/src/main/java/org/siskintiller/router/request/RefusalReason.java
@@ -19,7 +19,9 @@
     /** The companion of the backend server cannot be reached. */
     UNREACHABLE,
     /** The failure domain of the backend server is evacuated. */
-    EVACUATED;
+    EVACUATED,
+    /** The backend server belongs to another service than the one that the request is for. */
+    OTHER_SERVICE;
 
     private static final RefusalReason[] VALUES = values();
 
--- a/router/src/test/java/org/siskintiller/router/control/AuthorityDriverTest.java
+++ b/router/src/test/java/org/siskintiller/router/control/AuthorityDriverTest.java
@@ -19,8 +19,10 @@
     void create() {
         Member self = new Member("self", new Address("127.0.0.1", 1), "domain", "service");
         ControlState state = new ControlState();
-        PeerDirectory peers = new PeerDirectory(self, null, state, null, new FleetIntervals(), new MetricRegistry());
-        driver = new AuthorityDriver(new ControlSettings(self, INCARNATION), state, peers, null);
+        ControlSettings settings = new ControlSettings(self, INCARNATION);
+        PeerDirectory peers =
+                new PeerDirectory(settings, null, state, null, new FleetIntervals(), new MetricRegistry());
+        driver = new AuthorityDriver(settings, state, peers, null);
     }
 
     @Nested
--- a/router/src/test/java/org/siskintiller/router/control/ControlStateTest.java
+++ b/router/src/test/java/org/siskintiller/router/control/ControlStateTest.java
@@ -65,6 +65,42 @@
         }
     }
 
+    /** The address of a lost machine was given to another one. */
+    @Nested
+    class ReusedAddress {
+        /** Guards against requests that are sent to an address under the name of the machine that had it before. */
+        @Test
+        void belongsToTheMemberWithTheNewestRecord() {
+            apply("lost", "10.0.0.1", 1);
+            apply("added", "10.0.0.1", 2);
+
+            assertThat(state.members().keySet()).containsExactly("added");
+        }
+
+        /** Guards against an order of arrival that decides: other companions pass records on. */
+        @Test
+        void staysWithItWhenTheOlderRecordArrivesLater() {
+            apply("added", "10.0.0.1", 2);
+            apply("lost", "10.0.0.1", 1);
+
+            assertThat(state.members().keySet()).containsExactly("added");
+        }
+
+        /** Guards against a machine that stays out of reach after it got an address of its own. */
+        @Test
+        void letsAMemberBackThatRegistersElsewhere() {
+            apply("moved", "10.0.0.1", 1);
+            apply("added", "10.0.0.1", 2);
+            apply("moved", "10.0.0.2", 3);
+
+            assertThat(state.members().keySet()).containsExactly("added", "moved");
+        }
+
+        private void apply(String instance, String host, long at) {
+            state.apply(new StoredRecord("member/" + instance, member(instance, host, 7_600), at, 0));
+        }
+    }
+
     /** The store was restored from an older copy and assigns offsets again. */
     @Nested
     class RestoredStore {
--- a/router/src/test/java/org/siskintiller/router/peer/IncomingBodyTest.java
+++ b/router/src/test/java/org/siskintiller/router/peer/IncomingBodyTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.siskintiller.core.balance.BackendLoad;
 import org.siskintiller.core.model.Address;
+import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.path.CallerLimits;
 import org.siskintiller.core.path.RequestKind;
 import org.siskintiller.core.path.RequestMemory;
@@ -45,6 +46,8 @@
     private static final int BODY_BYTES = 60_000;
     private static final int STREAM = 7;
     private static final long LINK_BYTES_PER_S = 875_000;
+    private static final PeerIdentity SERVER = new PeerIdentity("other", new Incarnation(1));
+    private static final PeerIdentity CLIENT = new PeerIdentity("self", new Incarnation(2));
 
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) loops.next();
@@ -70,12 +73,14 @@
         backend.bind(new Address("127.0.0.1", 0));
         gate = OpenGate.create(loop, lag, new Address("127.0.0.1", backend.port()));
         LinkPacer pacer = new LinkPacer(loop, LINK_BYTES_PER_S);
-        server = new PeerServer(loop, lag, gate, new Events(), pacer, memory, LINK_BYTES_PER_S);
+        server = new PeerServer(SERVER, lag, gate, new Events(), pacer, memory, LINK_BYTES_PER_S);
         server.bind(new Address("127.0.0.1", 0));
         peer = new Socket("127.0.0.1", server.port());
         peer.setSoTimeout(TIMEOUT_MS);
         output = new DataOutputStream(peer.getOutputStream());
+        assertThat(PeerClientTest.readFrame(peer).getKindCase()).isEqualTo(Frame.KindCase.HELLO);
         assertThat(PeerClientTest.readFrame(peer).getKindCase()).isEqualTo(Frame.KindCase.STATUS);
+        write(CLIENT.introductionTo(SERVER.process()));
         announce(STREAM, BODY_BYTES);
     }
 
@@ -116,7 +121,7 @@
             Events events = new Events();
             Address address = new Address("127.0.0.1", server.port());
             LinkPacer pacer = new LinkPacer(loop, LINK_BYTES_PER_S);
-            PeerClient client = new PeerClient("self", "other", address, new FleetIntervals(), pacer, events);
+            PeerClient client = new PeerClient(CLIENT, "other", address, new FleetIntervals(), pacer, events);
             // Otherwise the first request may still use the memory.
             nextCredit();
             write(Frames.cancel(STREAM));
--- a/router/src/test/java/org/siskintiller/router/peer/PeerClientTest.java
+++ b/router/src/test/java/org/siskintiller/router/peer/PeerClientTest.java
@@ -24,6 +24,7 @@
 import org.siskintiller.core.gate.Suspicion;
 import org.siskintiller.core.lease.HolderReport;
 import org.siskintiller.core.model.Address;
+import org.siskintiller.core.model.Incarnation;
 import org.siskintiller.core.path.BackendLeaves;
 import org.siskintiller.core.path.RequestKind;
 import org.siskintiller.router.request.Destination;
@@ -41,6 +42,8 @@
 /** Connection to a faulty companion. */
 class PeerClientTest {
     private static final int TIMEOUT_MS = 5_000;
+    private static final PeerIdentity SELF = new PeerIdentity("self", new Incarnation(1));
+    private static final PeerIdentity OTHER = new PeerIdentity("other", new Incarnation(2));
 
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) loops.next();
@@ -53,7 +56,7 @@
         server.setSoTimeout(TIMEOUT_MS);
         Address address = new Address("127.0.0.1", server.getLocalPort());
         client = new PeerClient(
-                "self", "other", address, new FleetIntervals(), new LinkPacer(loop, 1_000_000), new NoEvents());
+                SELF, "other", address, new FleetIntervals(), new LinkPacer(loop, 1_000_000), new NoEvents());
         loop.execute(client::connect);
     }
 
@@ -63,6 +66,36 @@
         loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
     }
 
+    /** The address of the companion may belong to another one by now. */
+    @Nested
+    class Introduction {
+        /** Guards against requests for a lost companion that reach the one at its address. */
+        @Test
+        void ofAnotherInstanceClosesTheConnectionWithoutARequest() throws Exception {
+            assertGetsNothing(new PeerIdentity("another", OTHER.process()).introduction());
+        }
+
+        /** Guards against a companion that is taken for the expected one because it does not say which one it is. */
+        @Test
+        void isRequiredBeforeTheStatus() throws Exception {
+            assertGetsNothing(Frame.newBuilder()
+                    .setStatus(CompanionProto.Status.newBuilder().setService("service"))
+                    .build());
+        }
+
+        private void assertGetsNothing(Frame firstFrame) throws Exception {
+            try (Socket connection = server.accept()) {
+                connection.setSoTimeout(TIMEOUT_MS);
+                write(new DataOutputStream(connection.getOutputStream()), firstFrame);
+                Recorder recorder = new Recorder();
+                loop.submit(() -> client.send(request(), recorder)).get();
+
+                assertThat(connection.getInputStream().read()).isEqualTo(-1);
+                assertThat(recorder.refused.get()).isTrue();
+            }
+        }
+    }
+
     @Nested
     class EndlessBytes {
         private static final int PART_BYTES = 64 * 1024;
@@ -75,7 +108,8 @@
             try (Socket connection = server.accept()) {
                 connection.setSoTimeout(TIMEOUT_MS);
                 DataOutputStream output = new DataOutputStream(connection.getOutputStream());
-                // A hello frame arrives first, then the request.
+                // The introduction arrives first, then the request.
+                write(output, OTHER.introduction());
                 readFrame(connection);
                 Recorder recorder = new Recorder();
                 loop.execute(() -> client.send(request(), recorder));
@@ -101,8 +135,9 @@
         void ofALargeFrameCloseTheConnection() throws Exception {
             try (Socket connection = server.accept()) {
                 connection.setSoTimeout(TIMEOUT_MS);
-                readFrame(connection);
                 DataOutputStream output = new DataOutputStream(connection.getOutputStream());
+                write(output, OTHER.introduction());
+                readFrame(connection);
                 output.writeInt(CLAIMED_FRAME_BYTES);
                 output.write(new byte[64]);
 
@@ -142,6 +177,7 @@
     private static final class Recorder implements ResponseListener {
         private final AtomicLong bytes = new AtomicLong();
         private final AtomicBoolean failed = new AtomicBoolean();
+        private final AtomicBoolean refused = new AtomicBoolean();
 
         @Override
         public void started(ResponseHead head) {}
@@ -152,7 +188,9 @@
         }
 
         @Override
-        public void refused(Refusal refusal) {}
+        public void refused(Refusal refusal) {
+            refused.set(true);
+        }
 
         @Override
         public void failed(SendFailure failure) {
--- /dev/null
+++ b/router/src/test/java/org/siskintiller/router/peer/PeerServerTest.java
@@ -0,0 +1,242 @@
+package org.siskintiller.router.peer;
+
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.siskintiller.core.balance.BackendLoad;
+import org.siskintiller.core.model.Address;
+import org.siskintiller.core.model.Incarnation;
+import org.siskintiller.core.path.CallerLimits;
+import org.siskintiller.core.path.RequestMemory;
+import org.siskintiller.router.LoopLag;
+import org.siskintiller.router.backend.BackendGate;
+import org.siskintiller.router.backend.OpenGate;
+import org.siskintiller.router.ingress.CallerServer;
+import org.siskintiller.router.request.Header;
+import org.siskintiller.router.request.RefusalReason;
+import org.siskintiller.wire.companion.CompanionProto;
+import org.siskintiller.wire.companion.CompanionProto.Frame;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Companions that connect, some of which mean another process than the one that answers. */
+class PeerServerTest {
+    private static final int TIMEOUT_MS = 5_000;
+    private static final int LARGE_BODY_BYTES = 60_000;
+    private static final PeerIdentity SELF = new PeerIdentity("self", new Incarnation(1));
+    private static final PeerIdentity FIRST = new PeerIdentity("a", new Incarnation(12));
+    private static final PeerIdentity SECOND = new PeerIdentity("a", new Incarnation(11));
+
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) loops.next();
+    private final LoopLag lag = new LoopLag(loop, new MetricRegistry());
+    private final List<String> run = new CopyOnWriteArrayList<>();
+    private final CallerServer backend = new CallerServer(
+            loop,
+            lag,
+            (request, response) -> {
+                String id = request.headers().get("id");
+                run.add(id);
+                response.send(200, List.of(new Header("id", id)), new byte[0]);
+                return () -> {};
+            },
+            () -> CallerLimits.INITIAL);
+    private final List<Link> links = new ArrayList<>();
+    private PeerServer server;
+
+    @BeforeEach
+    void bind() throws Exception {
+        backend.bind(new Address("127.0.0.1", 0));
+        BackendGate gate = OpenGate.create(loop, lag, new Address("127.0.0.1", backend.port()));
+        LinkPacer pacer = new LinkPacer(loop, 1_000_000);
+        server = new PeerServer(SELF, lag, gate, new Events(), pacer, new RequestMemory(100_000), 1_000_000);
+        server.bind(new Address("127.0.0.1", 0));
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        for (Link link : links) {
+            link.socket.close();
+        }
+        server.close();
+        backend.close();
+        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    @Nested
+    class Introduction {
+        @Test
+        void letsTheRequestsOfTheProcessRun() throws Exception {
+            Link link = connect();
+            link.write(FIRST.introductionTo(SELF.process()));
+            link.request("r1", "service", 0);
+
+            assertThat(link.next(Frame.KindCase.RESPONSE_START)
+                            .getResponseStart()
+                            .getStatus())
+                    .isEqualTo(200);
+            assertThat(run).containsExactly("r1");
+        }
+
+        /** Guards against a request that runs although its sender has not said which process it means. */
+        @Test
+        void isRequiredBeforeARequest() throws Exception {
+            Link link = connect();
+            link.request("r1", "service", 0);
+
+            link.assertClosed();
+            assertThat(run).isEmpty();
+        }
+
+        /** Guards against a request for another process that had the address before. */
+        @Test
+        void forAnotherProcessClosesTheConnection() throws Exception {
+            Link link = connect();
+            link.write(FIRST.introductionTo(new Incarnation(2)));
+            link.request("r1", "service", 0);
+
+            link.assertClosed();
+            assertThat(run).isEmpty();
+        }
+    }
+
+    @Nested
+    class Restart {
+        /** Guards against requests and reports of an ended process that arrive after those of its successor. */
+        @Test
+        void closesTheConnectionsOfTheEarlierProcess() throws Exception {
+            Link earlier = connect();
+            earlier.write(FIRST.introductionTo(SELF.process()));
+            earlier.request("r1", "service", 0);
+            earlier.next(Frame.KindCase.RESPONSE_START);
+            Link successor = connect();
+            successor.write(SECOND.introductionTo(SELF.process()));
+
+            earlier.assertClosed();
+            successor.request("r2", "service", 0);
+            successor.next(Frame.KindCase.RESPONSE_START);
+            assertThat(run).containsExactly("r1", "r2");
+        }
+
+        /** Guards against the same where the ended process had connected, but its introduction was held up. */
+        @Test
+        void keepsOutAnEarlierProcessThatWasHeldUp() throws Exception {
+            Link earlier = connect();
+            Link successor = connect();
+            successor.write(SECOND.introductionTo(SELF.process()));
+            successor.request("r2", "service", 0);
+            successor.next(Frame.KindCase.RESPONSE_START);
+            earlier.write(FIRST.introductionTo(SELF.process()));
+            earlier.request("r1", "service", 0);
+
+            earlier.assertClosed();
+            assertThat(run).containsExactly("r2");
+        }
+    }
+
+    @Nested
+    class AnotherService {
+        /** Guards against a request that runs at another service, whose machine has the name of the holder. */
+        @Test
+        void getsNoRequest() throws Exception {
+            assertRefused(0, RefusalReason.OTHER_SERVICE);
+        }
+
+        /** Guards against a body that is read although its request is refused in any case. */
+        @Test
+        void readsNoBody() throws Exception {
+            assertRefused(LARGE_BODY_BYTES, RefusalReason.NO_BACKEND);
+        }
+
+        private void assertRefused(int bodyBytes, RefusalReason reason) throws Exception {
+            Link link = connect();
+            link.write(FIRST.introductionTo(SELF.process()));
+            link.request("r1", "another", bodyBytes);
+
+            CompanionProto.Refusal refusal = link.next(Frame.KindCase.REFUSAL).getRefusal();
+            assertThat(RefusalReason.of(refusal.getReason())).isEqualTo(reason);
+            assertThat(refusal.getArrived()).isFalse();
+            assertThat(run).isEmpty();
+        }
+    }
+
+    private Link connect() throws IOException {
+        Link link = new Link(new Socket("127.0.0.1", server.port()));
+        links.add(link);
+        assertThat(link.next(Frame.KindCase.HELLO)).isEqualTo(SELF.introduction());
+        return link;
+    }
+
+    /** Connection of another companion. */
+    private static final class Link {
+        private final Socket socket;
+        private final DataOutputStream output;
+
+        private Link(Socket socket) throws IOException {
+            this.socket = socket;
+            socket.setSoTimeout(TIMEOUT_MS);
+            output = new DataOutputStream(socket.getOutputStream());
+        }
+
+        private void write(Frame frame) throws IOException {
+            PeerClientTest.write(output, frame);
+        }
+
+        private void request(String id, String service, int bodyBytes) throws IOException {
+            write(Frame.newBuilder()
+                    .setRequest(CompanionProto.Request.newBuilder()
+                            .setStream(1)
+                            .setService(service)
+                            .setMethod("POST")
+                            .setUri("/")
+                            .setRequestId(id)
+                            .addHeaders(CompanionProto.Header.newBuilder()
+                                    .setName("id")
+                                    .setValue(id))
+                            .setRemainingMs(2_000)
+                            .setObjectiveMs(2_000)
+                            .setBodyLength(bodyBytes))
+                    .build());
+        }
+
+        /** Returns the next frame of a kind. */
+        private Frame next(Frame.KindCase kind) throws IOException {
+            Frame frame = PeerClientTest.readFrame(socket);
+            while (frame.getKindCase() != kind) {
+                frame = PeerClientTest.readFrame(socket);
+            }
+            return frame;
+        }
+
+        private void assertClosed() throws IOException {
+            try {
+                while (socket.getInputStream().read() >= 0) {
+                    // Frames that were sent before.
+                }
+            } catch (java.net.SocketException e) {
+                // Reset, since the server had not read all that was sent.
+                return;
+            }
+        }
+    }
+
+    private static final class Events extends PeerClientTest.NoEvents {
+        @Override
+        public PeerStatus status() {
+            return new PeerStatus("service", true, BackendLoad.UNKNOWN, 0, 0, true, 0, true, 0, List.of(), 0, 0);
+        }
+    }
+}
