Let the end of a cut response leave the other requests of its connection

Cause: a response above 256 KB is streamed even while earlier responses of the connection are pending; its parts wait. Its abort closed the connection, although nothing of it had been written. Requests behind a streamed response were passed on and lost with it in the same way.

Change: a response of which nothing has been written is withdrawn, and its request is retried or answered 502 or 504 in its turn. A response ahead of requests that were passed on is buffered whole up to 4 MiB. Requests behind a streamed response are passed on when it is complete.

Why this works: a connection is closed for one request only after a part of its response was written, and then nothing behind it has been passed on, except when the memory for responses is used up.

--- a/node/src/main/java/org/siskintiller/node/LogEvent.java
+++ b/node/src/main/java/org/siskintiller/node/LogEvent.java
@@ -43,6 +43,11 @@
             Level.WARN,
             "connection of a caller that does not read its responses closed, since memory is short",
             "check the caller"),
+    REQUEST_DEFERRED(
+            1107,
+            Level.DEBUG,
+            "request of a pipelined connection waits for a streamed response ahead of it",
+            "none; without pipelining it would not wait"),
 
     SESSION_OPENED(1201, Level.INFO, "session opened", "none"),
     SESSION_ENDED(1202, Level.WARN, "session ended", "none; the companion opens a new one"),
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -269,10 +269,51 @@
         server.lag().runAfterPendingReads(() -> handle(request, exchange));
     }
 
+    /**
+     * Passes a request on. Behind a response that is still streamed it waits: if that one is cut, the connection ends, and
+     * a request that was passed on would be lost.
+     */
     private void handle(CallerRequest request, Exchange exchange) {
-        if (exchanges.contains(exchange)) {
-            exchange.onDisconnect = server.handler().handle(request, exchange.response);
+        if (!exchanges.contains(exchange)) {
+            return;
+        }
+        if (followsStreamedResponse(exchange)) {
+            EventLog.log(LogEvent.REQUEST_DEFERRED, "uri", request.uri(), "ahead", exchanges.size() - 1);
+            exchange.deferred = request;
+            return;
+        }
+        exchange.onDisconnect = server.handler().handle(request, exchange.response);
+    }
+
+    private boolean followsStreamedResponse(Exchange exchange) {
+        for (Exchange earlier : exchanges) {
+            if (earlier == exchange) {
+                return false;
+            }
+            if (earlier.response.isStreamed()) {
+                return true;
+            }
         }
+        return false;
+    }
+
+    /** Passes on the requests that waited for a response which has ended. */
+    void responseEnded() {
+        if (exchanges.isEmpty()) {
+            return;
+        }
+        for (Exchange exchange : List.copyOf(exchanges)) {
+            CallerRequest request = exchange.deferred;
+            if (request != null && !followsStreamedResponse(exchange)) {
+                exchange.deferred = null;
+                handle(request, exchange);
+            }
+        }
+    }
+
+    boolean hasRequestsBehind(CallerResponse response) {
+        Exchange last = exchanges.peekLast();
+        return last != null && last.response != response;
     }
 
     private void rejectTooLarge() {
@@ -327,6 +368,9 @@
     private static final class Exchange {
         private final CallerResponse response;
         private Runnable onDisconnect = () -> {};
+        /** Request that waits for a streamed response ahead of it; null once it is passed on. */
+        private CallerRequest deferred;
+
         /** Memory reserved for the body of the request. */
         private int reservedBytes;
 
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerResponse.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerResponse.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import org.siskintiller.router.request.Header;
 import org.siskintiller.router.request.ResponseHead;
 
@@ -27,6 +28,8 @@
     private final Deque<HttpObject> queuedMessages = new ArrayDeque<>();
     private IntConsumer bodyWrittenListener = bytes -> {};
     private boolean first;
+    private boolean started;
+    private boolean written;
     private boolean complete;
     private final boolean headRequest;
 
@@ -52,6 +55,7 @@
 
     /** Starts a response whose body follows. */
     public void start(ResponseHead head) {
+        started = true;
         DefaultHttpResponse message =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status()));
         addHeaders(message.headers(), head.headers());
@@ -71,9 +75,39 @@
                 last
                         ? new DefaultLastHttpContent(Unpooled.wrappedBuffer(data))
                         : new DefaultHttpContent(Unpooled.wrappedBuffer(data)));
+        if (last) {
+            connection.responseEnded();
+        }
+    }
+
+    /** Whether requests that arrived later on the connection wait for their responses. */
+    public boolean hasRequestsBehind() {
+        return connection.hasRequestsBehind(this);
     }
 
-    /** Aborts a response that cannot be completed. Closes the connection, so that the caller detects the abort. */
+    /**
+     * Withdraws a response that was started, so that another one can take its place.
+     *
+     * @return false if the caller may have received a part of it
+     */
+    public boolean withdraw() {
+        if (written) {
+            return false;
+        }
+        started = false;
+        for (HttpObject message : queuedMessages) {
+            connection.taken(bytes(message));
+            ReferenceCountUtil.release(message);
+        }
+        queuedMessages.clear();
+        connection.responseEnded();
+        return true;
+    }
+
+    /**
+     * Aborts a response that cannot be completed. Closes the connection, so that the caller detects the abort. If nothing has
+     * been written, {@link #withdraw} spares the responses to earlier requests.
+     */
     public void abort() {
         complete = true;
         connection.abort();
@@ -83,6 +117,11 @@
         return complete && queuedMessages.isEmpty();
     }
 
+    /** Whether parts of the response are still to come, so that it may be cut. */
+    boolean isStreamed() {
+        return started && !complete;
+    }
+
     boolean isUnfinished() {
         return !complete;
     }
@@ -106,6 +145,7 @@
     }
 
     private void write(Channel channel, HttpObject message) {
+        written = true;
         if (message instanceof DefaultHttpResponse response) {
             connection.closeIfStopping(response.headers());
         }
--- a/router/src/main/java/org/siskintiller/router/request/RequestTask.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTask.java
@@ -1,6 +1,5 @@
 package org.siskintiller.router.request;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -22,6 +21,11 @@
      * response is cut off early.
      */
     private static final int MAX_BUFFERED_BYTES = 256 * 1024;
+    /**
+     * As above while other requests follow on the connection of the caller: a response that is cut midway takes them along.
+     * A quarter of the memory for all responses.
+     */
+    private static final int MAX_BUFFERED_BYTES_AHEAD = 4 * 1024 * 1024;
 
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
@@ -42,10 +46,7 @@
     private final long callerDeadlineNs;
     private final ScheduledFuture<?> deadlineTimer;
     private final Set<String> excludedInstances = new HashSet<>();
-    private final List<byte[]> bufferedData = new ArrayList<>();
-    private int bufferedBytes;
-    /** Memory reserved for the buffered parts of the response and of the fallback response. */
-    private int reservedBytes;
+    private final ResponseBuffer buffer;
     /** Bytes for which credit was given when they were buffered, before they were written to the caller. */
     private int creditedBytes;
 
@@ -79,6 +80,7 @@
         this.response = response;
         this.arrivedNs = arrivedNs;
         this.callerDeadlineNs = callerDeadlineNs;
+        this.buffer = new ResponseBuffer(router.responseBuffers());
         long remainingNs = lastResponseNs - System.nanoTime();
         this.deadlineTimer =
                 router.loop().schedule(this::deadlinePassed, Math.max(0, remainingNs), TimeUnit.NANOSECONDS);
@@ -144,11 +146,10 @@
         instance = target;
         companionsTried++;
         head = null;
-        bufferedData.clear();
-        bufferedBytes = 0;
+        buffer.clear();
         creditedBytes = 0;
         if (fallbackResponse == null) {
-            releaseBuffers();
+            buffer.release();
         }
         Attempt attempt = new Attempt(target);
         currentAttempt = attempt;
@@ -211,7 +212,7 @@
         lastCause = "failed at " + instance + ": " + failure.detail();
         backendAttempts++;
         mayHaveRun = true;
-        if (streaming) {
+        if (isPartlyWritten()) {
             EventLog.log(LogEvent.RESPONSE_CUT, "request", request.requestId(), "cause", lastCause);
             response.abort();
             end(false);
@@ -235,7 +236,7 @@
 
     private void handleResponse() {
         backendAttempts++;
-        WholeResponse whole = new WholeResponse(head, List.copyOf(bufferedData), instance);
+        WholeResponse whole = new WholeResponse(head, buffer.parts(), instance);
         boolean error = head.status() >= FIRST_SERVER_ERROR;
         mayHaveRun = true;
         if (error
@@ -280,9 +281,15 @@
     private void startStreaming() {
         streaming = true;
         response.start(head);
-        bufferedData.forEach(data -> response.data(data, false));
-        bufferedData.clear();
-        releaseBuffers();
+        buffer.parts().forEach(data -> response.data(data, false));
+        buffer.clear();
+        buffer.release();
+    }
+
+    /** Whether the caller may have a part of the response. One of which it has nothing is withdrawn, so that another can follow. */
+    private boolean isPartlyWritten() {
+        streaming = streaming && !response.withdraw();
+        return streaming;
     }
 
     private void bodyWritten(int bytes) {
@@ -296,11 +303,6 @@
         }
     }
 
-    private void releaseBuffers() {
-        router.responseBuffers().release(reservedBytes);
-        reservedBytes = 0;
-    }
-
     private void refuse(Refusal refusal) {
         if (refusal.reason() == RefusalReason.REJECTED) {
             refuseFor(RejectedRequest.callerWaitMs(refusal.retryAfterMs(), remainingMs(), Math.random()));
@@ -381,7 +383,7 @@
         boolean attemptPending =
                 currentAttempt != null && !currentAttempt.finished && (sentRequest == null || sentRequest.mayHaveRun());
         cancelCurrentAttempt();
-        if (streaming) {
+        if (isPartlyWritten()) {
             response.abort();
             end(false);
             return;
@@ -410,7 +412,7 @@
 
     private void end(boolean success) {
         ended = true;
-        releaseBuffers();
+        buffer.release();
         deadlineTimer.cancel(false);
         router.taskEnded(this, success, System.nanoTime() - arrivedNs);
     }
@@ -452,13 +454,7 @@
                 }
                 return;
             }
-            int reserved = data.length == 0 ? 0 : router.responseBuffers().tryReserve(data.length);
-            boolean isBuffered = reserved > 0 || data.length == 0;
-            reservedBytes += reserved;
-            if (data.length > 0) {
-                bufferedData.add(data);
-                bufferedBytes += data.length;
-            }
+            boolean isBuffered = buffer.add(data);
             if (last) {
                 finish(head.status() >= FIRST_SERVER_ERROR);
                 handleResponse();
@@ -468,11 +464,15 @@
                 sentRequest.credit(data.length);
                 creditedBytes += data.length;
             }
-            if (bufferedBytes >= MAX_BUFFERED_BYTES || !isBuffered) {
+            if (buffer.bytes() >= maxBufferedBytes() || !isBuffered) {
                 startStreaming();
             }
         }
 
+        private int maxBufferedBytes() {
+            return response.hasRequestsBehind() ? MAX_BUFFERED_BYTES_AHEAD : MAX_BUFFERED_BYTES;
+        }
+
         @Override
         public void refused(Refusal refusal) {
             if (finished) {
