Carry the id of a request once on each connection to the backend server

Cause: a rejected request is sent to the same holder again with its id, on the connection that was used last. A faulty backend server that wrote the rejection a second time there answered the repeat with it, since only the id tied an answer to its send.

Change: a connection remembers the ids that it has carried until their deadlines, and the pool passes a request an idle connection that has not carried its id, or a new one.

Why this works: a copy can only arrive on the connection of the first answer, where no later send has its id. It covers all ways in which an id comes again.

--- a/router/src/main/java/org/siskintiller/router/backend/BackendConnection.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendConnection.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.siskintiller.core.path.CarriedIds;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.ResponseDecoder;
@@ -31,7 +32,8 @@
 
 /**
  * Connection to the backend server, which carries one request at a time. A response is accepted only if it has the id
- * of the request. Bytes that arrive while no request is in progress close the connection.
+ * of the request, and the connection carries each id once, since an earlier response may be written again. Bytes that arrive
+ * while no request is in progress close the connection.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter implements ResponseDecoder.Receiver {
     private static final int MISDIRECTED = 421;
@@ -52,6 +54,7 @@
 
     private final HeaderNames names;
     private final BackendPool pool;
+    private final CarriedIds carriedIds = new CarriedIds();
     private Channel channel;
     private BackendExchange exchange;
     private boolean discarding;
@@ -85,6 +88,11 @@
         return channel.isActive() && exchange == null && !draining && reusable && nowNs < reusableUntilNs;
     }
 
+    /** Whether the request was sent on the connection before. */
+    boolean hasCarried(String requestId) {
+        return carriedIds.contains(requestId);
+    }
+
     /** Sends a request. The exchange receives the response, a rejection or a failure. */
     void send(BackendExchange newExchange, long nowNs) {
         exchange = newExchange;
@@ -94,6 +102,7 @@
         window.clear();
         collected.reset();
         ForwardedRequest request = newExchange.request();
+        carriedIds.add(request.requestId(), request.deadlineNs(), nowNs);
         ByteBuf body = request.body().length == 0 ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(request.body());
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method()), request.uri(), body);
--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -374,7 +374,7 @@
         runningCalls.add(call);
         runningIds.add(call.request().requestId());
         cold.dispatched(nowNs);
-        pool.acquire(connection -> {
+        pool.acquire(call.request().requestId(), connection -> {
             if (connection == null) {
                 connectFailed(call);
                 return;
--- a/router/src/main/java/org/siskintiller/router/backend/BackendPool.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendPool.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.function.Consumer;
 
 import com.codahale.metrics.Counter;
@@ -33,18 +34,34 @@
         this.connects = metrics.counter("backend.connects");
     }
 
-    /** Passes a connection to the receiver, or null when none can be established and nothing was sent. */
-    void acquire(Consumer<BackendConnection> receiver) {
+    /**
+     * Passes a connection that has not carried the request to the receiver, or null when none can be established and
+     * nothing was sent.
+     */
+    void acquire(String requestId, Consumer<BackendConnection> receiver) {
+        BackendConnection connection = takeIdle(requestId);
+        if (connection != null) {
+            receiver.accept(connection);
+        } else {
+            connect(receiver);
+        }
+    }
+
+    /** Takes out the last used connection that has not carried the request, or returns null. */
+    private BackendConnection takeIdle(String requestId) {
         long nowNs = System.nanoTime();
-        while (!idle.isEmpty()) {
-            BackendConnection connection = idle.pollFirst();
-            if (connection.isReusable(nowNs)) {
-                receiver.accept(connection);
-                return;
+        Iterator<BackendConnection> lastUsedFirst = idle.iterator();
+        while (lastUsedFirst.hasNext()) {
+            BackendConnection connection = lastUsedFirst.next();
+            if (!connection.isReusable(nowNs)) {
+                lastUsedFirst.remove();
+                connection.close();
+            } else if (!connection.hasCarried(requestId)) {
+                lastUsedFirst.remove();
+                return connection;
             }
-            connection.close();
         }
-        connect(receiver);
+        return null;
     }
 
     void release(BackendConnection connection) {
