Apply the leave of a backend server to the run that it names

Cause: a deregistration names its run, but the codec ignored it. One that arrived late ended the next run of a backend server that had kept its name.

Change: the run of the message counts. Without one it is for the present run, as before.

--- a/core/src/main/java/org/siskintiller/core/path/BackendPresence.java
+++ b/core/src/main/java/org/siskintiller/core/path/BackendPresence.java
@@ -1,6 +1,7 @@
 package org.siskintiller.core.path;
 
 import java.util.Objects;
+import java.util.OptionalLong;
 
 /**
  * State of a backend server as its companion derives it from heartbeats. The companion stops sending requests before
@@ -72,13 +73,15 @@
     }
 
     /**
-     * Applies the message that the backend server is leaving. Heartbeats of one that is not known yet may arrive after it, so
-     * that all its runs until now count as left.
+     * Applies the message that the backend server is leaving, which may arrive after a later run has started. Without a run, it
+     * is for the present run; heartbeats of a server that is not known yet may arrive after it, so that all its runs until
+     * now count as left.
      */
-    public void left(String id, long nowNs, long timeOfDayMs) {
+    public void left(String id, OptionalLong run, long nowNs, long timeOfDayMs) {
         boolean isCurrent = current != null && current.id().equals(id);
-        leaves = leaves.with(id, isCurrent ? current.run() : timeOfDayMs);
-        if (isCurrent && !leaving) {
+        long lastRun = run.orElse(isCurrent ? current.run() : timeOfDayMs);
+        leaves = leaves.with(id, lastRun);
+        if (isCurrent && !leaving && lastRun >= current.run()) {
             leave(nowNs);
         }
     }
--- a/core/src/test/java/org/siskintiller/core/path/BackendPresenceTest.java
+++ b/core/src/test/java/org/siskintiller/core/path/BackendPresenceTest.java
@@ -1,5 +1,7 @@
 package org.siskintiller.core.path;
 
+import java.util.OptionalLong;
+
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.siskintiller.core.path.BackendPresence.Announcement;
@@ -51,10 +53,36 @@
             assertThat(presence.isAvailable(5_000 * MS)).isTrue();
         }
 
+        /** Guards against a late message of an ended run that ends its successor under the same name. */
+        @Test
+        void ignoresTheLeaveOfAnEarlierRun() {
+            presence.announced(announcement(2, 1, false), 0);
+            presence.left("i-2", OptionalLong.of(1), 0, 0);
+
+            assertThat(presence.leaving()).isFalse();
+        }
+
+        @Test
+        void followsTheLeaveOfThePresentRun() {
+            presence.announced(announcement(2, 1, false), 0);
+            presence.left("i-2", OptionalLong.of(2), 0, 0);
+
+            assertThat(presence.leaving()).isTrue();
+        }
+
+        /** Guards against requests for a run whose leave arrives before its first heartbeat. */
+        @Test
+        void followsTheLeaveOfARunThatIsNotKnownYet() {
+            presence.left("i-2", OptionalLong.of(2), 0, 0);
+            presence.announced(announcement(2, 1, false), 0);
+
+            assertThat(presence.accepts(0)).isFalse();
+        }
+
         @Test
         void ignoresTheLeaveOfAnotherBackendServer() {
             presence.announced(announcement(1, 1, false), 0);
-            presence.left("another", 0, 0);
+            presence.left("another", OptionalLong.empty(), 0, 0);
 
             assertThat(presence.leaving()).isFalse();
         }
@@ -84,7 +112,7 @@
         /** Guards against a server that left before its first heartbeat arrived. */
         @Test
         void coversARunThatWasNotKnown() {
-            presence.left("i-1", 0, 1_000);
+            presence.left("i-1", OptionalLong.empty(), 0, 1_000);
             presence.announced(announcement(1, 7, false), 0);
 
             assertThat(presence.accepts(0)).isFalse();
@@ -103,7 +131,7 @@
         @Test
         void keepsTheDrainTimeOfItsOwnLeave() {
             presence.announced(announcement(1, 1, false), 0);
-            presence.left("i-1", 0, 0);
+            presence.left("i-1", OptionalLong.empty(), 0, 0);
             presence.leftEarlier(presence.leaves(), 100 * MS);
 
             assertThat(presence.accepts(500 * MS)).isTrue();
--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -126,8 +126,8 @@
     }
 
     /** Processes the message that the backend server is leaving. */
-    public void processLeave(String id, long nowNs) {
-        applyLeave(() -> presence.left(id, nowNs, System.currentTimeMillis()));
+    public void processLeave(HeartbeatCodec.Leave leave, long nowNs) {
+        applyLeave(() -> presence.left(leave.id(), leave.run(), nowNs, System.currentTimeMillis()));
     }
 
     /** Applies leaves that an earlier process of this companion acknowledged. */
--- a/router/src/main/java/org/siskintiller/router/backend/HeartbeatCodec.java
+++ b/router/src/main/java/org/siskintiller/router/backend/HeartbeatCodec.java
@@ -1,6 +1,7 @@
 package org.siskintiller.router.backend;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.siskintiller.core.lease.BackendHeartbeat;
 import org.siskintiller.core.lease.HeartbeatResponse;
@@ -20,8 +21,12 @@
     /** Regular heartbeat. */
     record Heartbeat(Announcement announcement, BackendHeartbeat keyReport) implements Message {}
 
-    /** The backend server is leaving. */
-    record Leave(String id) implements Message {}
+    /**
+     * The backend server is leaving.
+     *
+     * @param run start time of its run, if the message names it
+     */
+    record Leave(String id, OptionalLong run) implements Message {}
 
     /** The message cannot be decoded. */
     record Malformed(String detail) implements Message {}
--- a/router/src/main/java/org/siskintiller/router/backend/HeartbeatHandler.java
+++ b/router/src/main/java/org/siskintiller/router/backend/HeartbeatHandler.java
@@ -40,7 +40,7 @@
         if (message.get() instanceof HeartbeatCodec.Heartbeat heartbeat) {
             handleHeartbeat(heartbeat, response, nowNs);
         } else if (message.get() instanceof HeartbeatCodec.Leave leave) {
-            gate.processLeave(leave.id(), nowNs);
+            gate.processLeave(leave, nowNs);
             keyReports.backendLeft();
             keyReports.keepLeave(isKept -> response.send(isKept ? OK : UNAVAILABLE, List.of(), new byte[0]));
         } else if (message.get() instanceof HeartbeatCodec.Malformed malformed) {
