--- a/router/src/test/java/org/siskintiller/router/backend/KeyOrderSenderTest.java
+++ b/router/src/test/java/org/siskintiller/router/backend/KeyOrderSenderTest.java
@@ -1,8 +1,11 @@
 package org.siskintiller.router.backend;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
@@ -28,6 +31,10 @@
     private static final KeyRange RANGE = new KeyRange(0, 999);
     /** Time in which an order and its response arrive on this machine. */
     private static final long ARRIVAL_MS = 200;
+    /** Time after which a refused order is sent again. */
+    private static final long REFUSED_DELAY_MS = 500;
+
+    private static final String REFUSAL = "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n";
 
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) loops.next();
@@ -64,6 +71,27 @@
             assertThat(released()).isFalse();
         }
 
+        /** Guards against a grant that takes effect and counts as refused, so that its keys may go to another holder. */
+        @Test
+        void ofARefusalDoesNotRefuseTheNextGrant() throws Exception {
+            Set<Socket> refusedOn = ConcurrentHashMap.newKeySet();
+            start((response, number) -> {
+                if (number == 1 || refusedOn.contains(response.connection())) {
+                    response.write(REFUSAL);
+                    refusedOn.add(response.connection());
+                }
+                response.write(number == 1 ? "" : CONFIRMATION);
+            });
+            sendDue();
+            assertThat(served(1)).isFalse();
+            loop.submit(sender::heartbeatReceived).get();
+            Thread.sleep(REFUSED_DELAY_MS);
+
+            grant();
+
+            assertThat(server.requests()).isEqualTo(2);
+        }
+
         /** Guards against a second copy that arrives while no order is on its way. */
         @Test
         void onAnIdleConnectionClosesIt() throws Exception {
