Ask for the body of a request in its turn on the connection

Callers saw: behind a pipelined request, one that waits for 100 Continue got it before the earlier response, and behind a response in progress not at all, so that it waited until the idle timeout. Found by a test for docs/design/shared-connections.md.

Cause: the interim response was written at once, whatever the connection owed ahead of it; in the middle of a response the encoder rejects it.

Change: it is written when the responses ahead are complete.

Evidence: CallerServerTest.Ordering.asksForABodyWhenEarlierResponsesAreComplete failed before in both forms, passes now.

--- a/router/src/main/java/org/siskintiller/router/backend/KeyOrderSender.java
+++ b/router/src/main/java/org/siskintiller/router/backend/KeyOrderSender.java
@@ -169,11 +169,11 @@
                 return;
             }
             ResponseLimit.responseReceived(channel);
-            // Responses carry no id. A second copy may follow, which must not end a release or refuse a grant, so only a
+            // Responses carry no id. A second copy may follow, which must not end a release or refuse a grant, so only
+            // a
             // confirmed grant leaves its connection to the next order.
-            boolean isReusable = order instanceof KeyOrder.Grant
-                    && response.status().code() == OK
-                    && HttpUtil.isKeepAlive(response);
+            boolean isReusable =
+                    order instanceof KeyOrder.Grant && response.status().code() == OK && HttpUtil.isKeepAlive(response);
             KeyOrder answered = takeOrder();
             complete(answered, response);
             if (isReusable && channel.isActive()) {
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -44,6 +44,9 @@
     private final Deque<Exchange> exchanges = new ArrayDeque<>();
     private Channel channel;
     private HttpRequest head;
+    /** Whether the caller waits for an interim response before it sends the body. */
+    private boolean awaitsContinue;
+
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     /** Memory reserved for the body that is being read. */
     private int reservedBytes;
@@ -139,9 +142,18 @@
             closeAfterResponse();
             return;
         }
+        sendContinueInTurn();
         updateReading();
     }
 
+    /** Lets the body of the last request follow when the responses ahead of it are written. */
+    private void sendContinueInTurn() {
+        if (awaitsContinue && exchanges.isEmpty()) {
+            awaitsContinue = false;
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
     /** Counts bytes of a response that are buffered for the caller. */
     void buffered(int bytes) {
         if (bytes > 0 && channel.isActive()) {
@@ -219,11 +231,10 @@
             return;
         }
         reservedBytes = (int) length;
-        if (HttpUtil.is100ContinueExpected(request)) {
-            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
-        }
         head = request;
         arrivedNs = server.lag().earliestArrivalNs();
+        awaitsContinue = HttpUtil.is100ContinueExpected(request);
+        sendContinueInTurn();
     }
 
     private void appendBody(HttpContent content) {
@@ -256,6 +267,7 @@
     }
 
     private void completeRequest() {
+        awaitsContinue = false;
         HttpRequest httpRequest = head;
         byte[] bytes = ByteBufUtil.getBytes(body, body.readerIndex(), body.readableBytes(), false);
         head = null;
@@ -339,6 +351,7 @@
     private void reject(HttpResponseStatus status, String detail, List<Header> headers) {
         EventLog.log(LogEvent.REQUEST_REJECTED, "status", status.code(), "cause", detail);
         head = null;
+        awaitsContinue = false;
         releaseBody();
         closing = true;
         addExchange(false).response.send(status.code(), headers, new byte[0]);
--- a/router/src/test/java/org/siskintiller/router/ingress/CallerServerTest.java
+++ b/router/src/test/java/org/siskintiller/router/ingress/CallerServerTest.java
@@ -1,7 +1,6 @@
 package org.siskintiller.router.ingress;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -18,6 +17,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.siskintiller.core.model.Address;
 import org.siskintiller.core.path.CallerLimits;
 import org.siskintiller.router.LoopLag;
@@ -25,7 +26,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-/** The path of a request selects what the handler does: /slow, /fast, /age, /cut and /never. */
+/** The path of a request selects what the handler does: /slow, /fast, /age, /stream, /cut and /never. */
 class CallerServerTest {
     private static final int READ_TIMEOUT_MS = 5_000;
     private static final long SLOW_MS = 300;
@@ -63,6 +64,20 @@
             }
         }
 
+        /** Guards against an interim response in the middle of an earlier response, and against one that never comes. */
+        @ParameterizedTest
+        @ValueSource(strings = {"/slow", "/stream"})
+        void asksForABodyWhenEarlierResponsesAreComplete(String earlier) throws IOException {
+            String head = "POST /fast HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 4\r\n\r\n";
+            try (Socket socket = send(get(earlier) + head)) {
+                String received = readUntil(socket, "100 Continue");
+                assertThat(received).contains("[" + earlier + "]");
+
+                socket.getOutputStream().write("body".getBytes(StandardCharsets.UTF_8));
+                assertThat(readUntil(socket, "[/fast]")).doesNotContain("100 Continue");
+            }
+        }
+
         /** Guards against an error for a later request that cuts off the responses to earlier ones. */
         @Test
         void respondsToEarlierRequestsBeforeAMalformedOne() throws IOException {
@@ -204,6 +219,12 @@
                 response.data("part".getBytes(StandardCharsets.UTF_8), false);
                 loop.schedule(response::abort, SLOW_MS, TimeUnit.MILLISECONDS);
             }
+            case "/stream" -> {
+                response.start(new ResponseHead(200, List.of(), ResponseHead.UNKNOWN_LENGTH));
+                response.data("part ".getBytes(StandardCharsets.UTF_8), false);
+                byte[] rest = "[/stream]".getBytes(StandardCharsets.UTF_8);
+                loop.schedule(() -> response.data(rest, true), SLOW_MS, TimeUnit.MILLISECONDS);
+            }
             case "/large" -> respond("x".repeat(LARGE_BYTES), response);
             case "/age" -> respond(String.valueOf((System.nanoTime() - request.arrivedNs()) / 1_000_000), response);
             case "/never" -> {
@@ -248,21 +269,24 @@
 
     /** Reads until the response to /close, which marks the end. */
     private static String bodies(Socket socket) throws IOException {
+        StringBuilder bodies = new StringBuilder();
+        for (String line : readUntil(socket, "[/close]").split("HTTP/1.1")) {
+            int at = line.indexOf('[');
+            bodies.append(at < 0 || line.contains("[/close]") ? "" : line.substring(at));
+        }
+        return bodies.toString();
+    }
+
+    private static String readUntil(Socket socket, String end) throws IOException {
         StringBuilder text = new StringBuilder();
-        InputStream input = socket.getInputStream();
-        while (text.indexOf("[/close]") < 0) {
-            int read = input.read();
+        while (text.indexOf(end) < 0) {
+            int read = socket.getInputStream().read();
             if (read < 0) {
                 throw new IOException("the connection ended after: " + text);
             }
             text.append((char) read);
         }
-        StringBuilder bodies = new StringBuilder();
-        for (String line : text.toString().split("HTTP/1.1")) {
-            int at = line.indexOf('[');
-            bodies.append(at < 0 || line.contains("[/close]") ? "" : line.substring(at));
-        }
-        return bodies.toString();
+        return text.toString();
     }
 
     private static String readAll(Socket socket) throws IOException {
