Let the running requests of an ended process of a companion end

Cause: the introduction of a successor closed the connections of the earlier process of its instance, with the requests that run on them.

Change: a connection of an earlier process only carries on what runs. New requests on it are refused as not run, bodies that are not complete are dropped, and its reports, records and configurations are ignored. The check of introductions is a class of its own now.

Evidence: PeerServerTest.Restart.letsRunningRequestsEnd is new: with the closing, the response of the running request never came.

--- a/router/src/main/java/org/siskintiller/router/peer/Frames.java
+++ b/router/src/main/java/org/siskintiller/router/peer/Frames.java
@@ -259,6 +259,13 @@
                 reply.getTerm(), reply.getSequence(), reply.getLeaseMs(), release, records(reply.getRecordsList()));
     }
 
+    static Frame resignation(long term, boolean acknowledged) {
+        return Frame.newBuilder()
+                .setResignation(
+                        CompanionProto.Resignation.newBuilder().setTerm(term).setAcknowledged(acknowledged))
+                .build();
+    }
+
     static Frame sharedRecords(List<StoredRecord> records, boolean complete) {
         CompanionProto.SharedRecords.Builder builder =
                 CompanionProto.SharedRecords.newBuilder().setComplete(complete);
--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -254,9 +254,7 @@
     }
 
     public void requestResignation(long term) {
-        write(Frame.newBuilder()
-                .setResignation(CompanionProto.Resignation.newBuilder().setTerm(term))
-                .build());
+        write(Frames.resignation(term, false));
     }
 
     @Override
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -43,6 +44,9 @@
     /** Retry-After of requests for whose bodies there is no memory: most requests end within this time. */
     private static final long MEMORY_RETRY_AFTER_MS = 250;
 
+    /** Frames that concern a request which was received before. */
+    private static final Set<Frame.KindCase> RUNNING_KINDS = EnumSet.of(Frame.KindCase.CANCEL, Frame.KindCase.CREDIT);
+
     private final PeerIdentity self;
     private final EventLoop loop;
     private final LoopLag lag;
@@ -55,7 +59,7 @@
     private final RequestMemory memory;
     private final long linkBytesPerSecond;
     private final Set<Connection> connections = new HashSet<>();
-    private final PeerProcesses processes = new PeerProcesses();
+    private final IntroductionCheck introductions;
     private long acceptedConnections;
     private Channel server;
 
@@ -68,6 +72,7 @@
             RequestMemory memory,
             long linkBytesPerSecond) {
         this.self = self;
+        this.introductions = new IntroductionCheck(self);
         this.loop = pacer.loop();
         this.lag = lag;
         this.gate = gate;
@@ -109,14 +114,11 @@
         server.close();
     }
 
-    /** Closes the connections of earlier processes of an instance. What they sent last may still arrive on them. */
-    private void closeEarlierProcesses(PeerIdentity successor) {
+    /** Ends the part of earlier processes of an instance. What they sent last may still arrive. */
+    private void retireEarlierProcesses(PeerIdentity successor) {
         for (Connection connection : List.copyOf(connections)) {
-            boolean isEarlier = connection.isIntroduced()
-                    && connection.peer.instance().equals(successor.instance())
-                    && !connection.peer.equals(successor);
-            if (isEarlier) {
-                connection.channel.close();
+            if (connection.instance().equals(successor.instance()) && !connection.peer.equals(successor)) {
+                connection.retire();
             }
         }
     }
@@ -128,6 +130,8 @@
         private long number;
         /** Process at the other end; null until it has introduced itself. */
         private PeerIdentity peer;
+        /** Whether a later process of the instance is known. Only the requests that run go on. */
+        private boolean isRetired;
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
@@ -138,12 +142,8 @@
             channel.writeAndFlush(StatusCodec.frame(events.status()));
         }
 
-        private boolean isIntroduced() {
-            return peer != null;
-        }
-
         private String instance() {
-            return isIntroduced() ? peer.instance() : "";
+            return peer == null ? "" : peer.instance();
         }
 
         @Override
@@ -165,10 +165,17 @@
             if (!channel.isOpen()) {
                 return;
             }
-            if (!isIntroduced()) {
+            if (peer == null) {
                 introduced(frame);
-                return;
+            } else if (!isRetired || RUNNING_KINDS.contains(frame.getKindCase())) {
+                received(frame);
+            } else if (frame.getKindCase() == Frame.KindCase.REQUEST) {
+                Refusal refusal = new Refusal(RefusalReason.UNREACHABLE, 0, false);
+                channel.writeAndFlush(Frames.refusal(frame.getRequest().getStream(), refusal, gate.load()));
             }
+        }
+
+        private void received(Frame frame) {
             switch (frame.getKindCase()) {
                 // One that follows the introduction asks for the status.
                 case HELLO -> channel.writeAndFlush(StatusCodec.frame(events.status()));
@@ -210,12 +217,9 @@
                             EvacuationCodec.decode(frame.getEvacuations().getEvacuationsList()), instance());
                 case SUSPICIONS -> events.suspicionsReceived(Frames.suspicions(frame.getSuspicions()));
                 case RESIGNATION -> {
-                    if (events.resignationRequested(frame.getResignation().getTerm())) {
-                        channel.writeAndFlush(Frame.newBuilder()
-                                .setResignation(CompanionProto.Resignation.newBuilder()
-                                        .setTerm(frame.getResignation().getTerm())
-                                        .setAcknowledged(true))
-                                .build());
+                    long term = frame.getResignation().getTerm();
+                    if (events.resignationRequested(term)) {
+                        channel.writeAndFlush(Frames.resignation(term, true));
                     }
                 }
                 default ->
@@ -224,31 +228,27 @@
             }
         }
 
-        /** Accepts a process that is in force and means this one. Closes the connection of any other. */
         private void introduced(Frame frame) {
-            PeerIdentity identity = PeerIdentity.of(frame.getHello());
-            boolean isMeant = identity.isComplete()
-                    && frame.getHello().getReceiver() == self.process().id();
-            PeerProcesses.Standing standing = isMeant
-                    ? processes.introduced(identity.instance(), identity.process(), number)
-                    : PeerProcesses.Standing.ENDED;
+            PeerProcesses.Standing standing = introductions.check(frame, number);
             if (standing == PeerProcesses.Standing.ENDED) {
-                EventLog.log(
-                        LogEvent.PEER_NOT_EXPECTED,
-                        "peer",
-                        identity.instance(),
-                        "process",
-                        identity.process(),
-                        "meant_for_this_process",
-                        isMeant,
-                        "frame",
-                        String.valueOf(frame.getKindCase()));
                 channel.close();
                 return;
             }
-            peer = identity;
+            peer = PeerIdentity.of(frame.getHello());
             if (standing == PeerProcesses.Standing.SUCCESSOR) {
-                closeEarlierProcesses(identity);
+                retireEarlierProcesses(peer);
+            }
+        }
+
+        /** Closes the connection unless requests of it run, whose responses it still carries. */
+        private void retire() {
+            isRetired = true;
+            List<Stream> incomplete = streams.values().stream()
+                    .filter(stream -> stream.body != null)
+                    .toList();
+            incomplete.forEach(stream -> stream.refused(new Refusal(RefusalReason.UNREACHABLE, 0, false)));
+            if (streams.isEmpty()) {
+                channel.close();
             }
         }
 
--- a/router/src/test/java/org/siskintiller/router/peer/PeerServerTest.java
+++ b/router/src/test/java/org/siskintiller/router/peer/PeerServerTest.java
@@ -50,12 +50,18 @@
             (request, response) -> {
                 String id = request.headers().get("id");
                 run.add(id);
-                response.send(200, List.of(new Header("id", id)), new byte[0]);
+                Runnable respond = () -> response.send(200, List.of(new Header("id", id)), new byte[0]);
+                if (id.equals("slow")) {
+                    slowResponse = respond;
+                } else {
+                    respond.run();
+                }
                 return () -> {};
             },
             () -> CallerLimits.INITIAL);
     private final List<Link> links = new ArrayList<>();
     private PeerServer server;
+    private volatile Runnable slowResponse;
 
     @BeforeEach
     void bind() throws Exception {
@@ -131,6 +137,27 @@
             assertThat(run).containsExactly("r1", "r2");
         }
 
+        /** Guards against the loss of a response to an ended process that still waits for it, and against a new request of it. */
+        @Test
+        void letsRunningRequestsEnd() throws Exception {
+            Link earlier = connect();
+            earlier.write(FIRST.introductionTo(SELF.process()));
+            earlier.request("slow", "service", 0);
+            awaitRun("slow");
+            Link successor = connect();
+            successor.write(SECOND.introductionTo(SELF.process()));
+            successor.awaitProcessed();
+            successor.request("r2", "service", 0);
+            earlier.request("r3", "service", 0);
+
+            assertThat(earlier.next(Frame.KindCase.REFUSAL).getRefusal().getArrived())
+                    .isFalse();
+            respondToSlow();
+            earlier.next(Frame.KindCase.RESPONSE_START);
+            successor.next(Frame.KindCase.RESPONSE_START);
+            assertThat(run).containsExactly("slow", "r2");
+        }
+
         /** Guards against the same where the ended process had connected, but its introduction was held up. */
         @Test
         void keepsOutAnEarlierProcessThatWasHeldUp() throws Exception {
@@ -173,6 +200,17 @@
         }
     }
 
+    private void awaitRun(String id) throws InterruptedException {
+        for (int i = 0; i < TIMEOUT_MS && !run.contains(id); i++) {
+            Thread.sleep(1);
+        }
+        assertThat(run).contains(id);
+    }
+
+    private void respondToSlow() throws Exception {
+        loop.submit(slowResponse).get();
+    }
+
     private Link connect() throws IOException {
         Link link = new Link(new Socket("127.0.0.1", server.port()));
         links.add(link);
@@ -212,6 +250,15 @@
                     .build());
         }
 
+        /** Waits until the server has processed what was written. */
+        private void awaitProcessed() throws IOException {
+            next(Frame.KindCase.STATUS);
+            write(Frame.newBuilder()
+                    .setHello(CompanionProto.Hello.getDefaultInstance())
+                    .build());
+            next(Frame.KindCase.STATUS);
+        }
+
         /** Returns the next frame of a kind. */
         private Frame next(Frame.KindCase kind) throws IOException {
             Frame frame = PeerClientTest.readFrame(socket);
