Cut streamed responses in one place, and count rates of assigned keys only

Cause: the two ways in which a streamed response ends early repeated each other, and only one of them was logged.

Change: cutIfWritten withdraws or cuts the response for both.

--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -218,9 +218,8 @@
         long nowNs = System.nanoTime();
         GateCall call = new GateCall(this, request, listener, QueuePlace.of(request, nowNs), sequence++, nowNs);
         RefusalReason reason = check.reason(request, false, nowNs);
-        boolean isAssigned = request.key() != ForwardedRequest.NO_KEY
-                && reason != RefusalReason.OTHER_SERVICE
-                && keys.holder().isAssigned(request.key());
+        boolean isAssigned =
+                reason != RefusalReason.OTHER_SERVICE && keys.holder().isAssigned(request.key());
         if (isAssigned) {
             keys.rates().count(request.key());
         }
--- a/router/src/main/java/org/siskintiller/router/request/RequestTask.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTask.java
@@ -21,10 +21,7 @@
      * response is cut off early.
      */
     private static final int MAX_BUFFERED_BYTES = 256 * 1024;
-    /**
-     * As above while other requests follow on the connection of the caller: a response that is cut midway takes them along.
-     * A quarter of the memory for all responses.
-     */
+    /** As above ahead of other requests, which a cut response takes along. A quarter of the memory for all responses. */
     private static final int MAX_BUFFERED_BYTES_AHEAD = 4 * 1024 * 1024;
 
     private static final int BAD_GATEWAY = 502;
@@ -212,10 +209,7 @@
         lastCause = "failed at " + instance + ": " + failure.detail();
         backendAttempts++;
         mayHaveRun = true;
-        if (isPartlyWritten()) {
-            EventLog.log(LogEvent.RESPONSE_CUT, "request", request.requestId(), "cause", lastCause);
-            response.abort();
-            end(false);
+        if (cutIfWritten(lastCause)) {
             return;
         }
         if (fallbackResponse != null) {
@@ -286,10 +280,16 @@
         buffer.release();
     }
 
-    /** Whether the caller may have a part of the response. One of which it has nothing is withdrawn, so that another can follow. */
-    private boolean isPartlyWritten() {
-        streaming = streaming && !response.withdraw();
-        return streaming;
+    /** Cuts a streamed response. Returns false if the caller has nothing of it, so that another one can take its place. */
+    private boolean cutIfWritten(String cause) {
+        if (!streaming || response.withdraw()) {
+            streaming = false;
+            return false;
+        }
+        EventLog.log(LogEvent.RESPONSE_CUT, "request", request.requestId(), "cause", cause);
+        response.abort();
+        end(false);
+        return true;
     }
 
     private void bodyWritten(int bytes) {
@@ -383,9 +383,7 @@
         boolean attemptPending =
                 currentAttempt != null && !currentAttempt.finished && (sentRequest == null || sentRequest.mayHaveRun());
         cancelCurrentAttempt();
-        if (isPartlyWritten()) {
-            response.abort();
-            end(false);
+        if (cutIfWritten(cause)) {
             return;
         }
         if (fallbackResponse != null) {
