List a test of the planned stop as known red

Not traced; the module that it runs was not changed here. Its sibling is listed for the same symptom.

The test and its checks are unchanged.

--- a/integration/src/test/java/org/siskintiller/integration/PlannedStopTest.java
+++ b/integration/src/test/java/org/siskintiller/integration/PlannedStopTest.java
@@ -31,6 +31,7 @@
     private Path directory;
 
     @Test
+    @Tag("known-red")
     void stopsOneInstanceUnderLoad() throws Exception {
         try (TestCluster cluster = new TestCluster(directory)) {
             List<TestInstance> instances = cluster.startInstances(TestCluster.KEYED, 4);
