Use the terms of the glossary in the new comments

Cause: comments and two names said answer, cut and pass on where the glossary has response, truncated and start.

Change: wording, and truncateIfWritten for cutIfWritten. No change in behaviour.

--- a/core/src/main/java/org/siskintiller/core/path/CarriedIds.java
+++ b/core/src/main/java/org/siskintiller/core/path/CarriedIds.java
@@ -8,8 +8,8 @@
  * Ids of the requests that one connection has carried, until their deadlines, after which a request is not sent again.
  *
  * <p>Load pattern: backend servers reject half of their arrivals, so that requests are sent again with their ids, and one of
- * them writes some of its answers twice. On a connection that carries an id only once, a second answer with it is no answer to
- * the repeat.
+ * them writes some of its responses twice. On a connection that carries an id only once, the second copy of a response
+ * cannot be taken for the response to the next attempt.
  */
 public final class CarriedIds {
     private final Map<String, Long> deadlinesNs = new LinkedHashMap<>();
--- a/router/src/main/java/org/siskintiller/router/backend/SendCheck.java
+++ b/router/src/main/java/org/siskintiller/router/backend/SendCheck.java
@@ -60,7 +60,7 @@
                 || evacuation.refuses(true, nowNs);
     }
 
-    /** Whether requests for the service are for this backend server. Names and addresses of others prove nothing. */
+    /** Whether the backend server belongs to the service. The name that a sender looked up may have another one by now. */
     private boolean serves(String service) {
         return presence.known() && presence.current().service().equals(service);
     }
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -282,8 +282,8 @@
     }
 
     /**
-     * Passes a request on. Behind a response that is still streamed it waits: if that one is cut, the connection ends, and
-     * a request that was passed on would be lost.
+     * Starts a request. One behind a response that is still streamed is deferred: if that response is truncated, the
+     * connection ends, and a request that was started would be lost.
      */
     private void handle(CallerRequest request, Exchange exchange) {
         if (!exchanges.contains(exchange)) {
@@ -309,7 +309,7 @@
         return false;
     }
 
-    /** Passes on the requests that waited for a response which has ended. */
+    /** Starts the requests that were deferred because of a response which has ended. */
     void responseEnded() {
         if (exchanges.isEmpty()) {
             return;
@@ -381,7 +381,7 @@
     private static final class Exchange {
         private final CallerResponse response;
         private Runnable onDisconnect = () -> {};
-        /** Request that waits for a streamed response ahead of it; null once it is passed on. */
+        /** Request that waits for a streamed response ahead of it; null once it is started. */
         private CallerRequest deferred;
 
         /** Memory reserved for the body of the request. */
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerResponse.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerResponse.java
@@ -117,7 +117,7 @@
         return complete && queuedMessages.isEmpty();
     }
 
-    /** Whether parts of the response are still to come, so that it may be cut. */
+    /** Whether parts of the response are still to come, so that it may be truncated. */
     boolean isStreamed() {
         return started && !complete;
     }
--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -284,7 +284,7 @@
         }
     }
 
-    /** Begins to use the connection if the first frame proves that the companion answers, and closes it otherwise. */
+    /** Begins to use the connection if its first frame is the introduction of the companion, and closes it otherwise. */
     private void introduced(Frame frame) {
         PeerIdentity peer = PeerIdentity.of(frame.getHello());
         if (!peer.isComplete() || !peer.instance().equals(instance)) {
@@ -294,7 +294,7 @@
                     instance,
                     "address",
                     address,
-                    "answered",
+                    "found",
                     peer.instance(),
                     "frame",
                     String.valueOf(frame.getKindCase()));
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -114,7 +114,7 @@
         server.close();
     }
 
-    /** Ends the part of earlier processes of an instance. What they sent last may still arrive. */
+    /** Retires the connections of earlier processes of an instance, on which their last messages may still arrive. */
     private void retireEarlierProcesses(PeerIdentity successor) {
         for (Connection connection : List.copyOf(connections)) {
             if (connection.instance().equals(successor.instance()) && !connection.peer.equals(successor)) {
--- a/router/src/main/java/org/siskintiller/router/request/RequestTask.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTask.java
@@ -21,7 +21,7 @@
      * response is cut off early.
      */
     private static final int MAX_BUFFERED_BYTES = 256 * 1024;
-    /** As above ahead of other requests, which a cut response takes along. A quarter of the memory for all responses. */
+    /** As above ahead of other requests, which a truncated response would end. A quarter of the memory for all responses. */
     private static final int MAX_BUFFERED_BYTES_AHEAD = 4 * 1024 * 1024;
 
     private static final int BAD_GATEWAY = 502;
@@ -209,7 +209,7 @@
         lastCause = "failed at " + instance + ": " + failure.detail();
         backendAttempts++;
         mayHaveRun = true;
-        if (cutIfWritten(lastCause)) {
+        if (truncateIfWritten(lastCause)) {
             return;
         }
         if (fallbackResponse != null) {
@@ -280,8 +280,8 @@
         buffer.release();
     }
 
-    /** Cuts a streamed response. Returns false if the caller has nothing of it, so that another one can take its place. */
-    private boolean cutIfWritten(String cause) {
+    /** Truncates a streamed response. Returns false if the caller has nothing of it, so that another can take its place. */
+    private boolean truncateIfWritten(String cause) {
         if (!streaming || response.withdraw()) {
             streaming = false;
             return false;
@@ -383,7 +383,7 @@
         boolean attemptPending =
                 currentAttempt != null && !currentAttempt.finished && (sentRequest == null || sentRequest.mayHaveRun());
         cancelCurrentAttempt();
-        if (cutIfWritten(cause)) {
+        if (truncateIfWritten(cause)) {
             return;
         }
         if (fallbackResponse != null) {
