Measure frames between companions by kind, and how long they are under way

Cause: requests were sent to backend servers after their callers had left (GONE). The logs could not tell a full link from a late event loop: they named neither the bytes by kind of frame nor the age of a message at a hop.

Change: frames other than responses and parts of bodies state when they were sent. TransitDelay takes the delay beyond the fastest recent frame of the connection, since two machines share no clock.

Tests of core, wire, node and router pass.

--- a/node/src/main/java/org/siskintiller/node/LogEvent.java
+++ b/node/src/main/java/org/siskintiller/node/LogEvent.java
@@ -93,6 +93,11 @@
             Level.WARN,
             "another process than the expected one at the other end of a connection between companions; connection closed",
             "none if the address was given to another machine or a process has restarted; else check the addresses"),
+    PEER_LINK_SLOW(
+            1309,
+            Level.WARN,
+            "frames between companions wait in a socket or on a link",
+            "compare the bytes of each kind with the rate of the link"),
 
     BACKEND_ANNOUNCED(1401, Level.INFO, "backend server announced itself", "none"),
     BACKEND_ANNOUNCEMENT_INVALID(1402, Level.WARN, "invalid announcement", "correct the backend server"),
@@ -139,6 +144,11 @@
     REQUEST_QUARANTINED(1608, Level.WARN, "request refused because it crashed backend servers", "check the request"),
     CRASH_SUSPECTED(1609, Level.WARN, "backend server lost while it ran a request", "check the request"),
     ATTEMPT_CANCELLED(1610, Level.INFO, "attempt cancelled, since its caller disconnected or timed out", "none"),
+    CANCELLATION_LATE(
+            1611,
+            Level.WARN,
+            "cancellation from another companion was late",
+            "look for SIS-1309 at the companion that sent it"),
 
     DOMAIN_SHARE_CHANGED(
             1620,
--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -50,6 +50,7 @@
 import org.siskintiller.router.peer.FleetIntervals;
 import org.siskintiller.router.peer.LinkPacer;
 import org.siskintiller.router.peer.PeerServer;
+import org.siskintiller.router.peer.PeerTraffic;
 import org.siskintiller.router.request.Header;
 import org.siskintiller.router.request.HeaderNames;
 import org.siskintiller.router.request.RequestRouter;
@@ -116,7 +117,8 @@
         LinkPacer pacer = new LinkPacer(loop, settings.linkBytesPerSecond());
         metrics.gauge("link.request_bytes_waiting", () -> pacer::waitingRequestBytes);
         BufferMemory memory = new BufferMemory(loop, metrics);
-        PeerDirectory peers = new PeerDirectory(controlSettings, pacer, state, gate, intervals, metrics);
+        PeerTraffic traffic = new PeerTraffic(loop, metrics);
+        PeerDirectory peers = new PeerDirectory(controlSettings, pacer, traffic, state, gate, intervals, metrics);
         this.router = new RequestRouter(loop, lag, names, settings.router(), peers, gate::runs, metrics);
         StoreSupply supply = new StoreSupply(self, state, peers, metrics);
         StoreFeeds feeds = new StoreFeeds(store, loop);
@@ -134,14 +136,8 @@
                 supply,
                 new LocalBackend(gate, presence, crashes, keys, delivery(keys.holder(), orderCodec)));
         peers.listen(control);
-        this.peerServer = new PeerServer(
-                controlSettings.identity(),
-                lag,
-                gate,
-                control,
-                pacer,
-                memory.requests(),
-                settings.linkBytesPerSecond());
+        this.peerServer =
+                new PeerServer(controlSettings.identity(), lag, gate, control, pacer, traffic, memory.requests());
         this.callerServer = new CallerServer(loop, lag, router, this::callerLimits, memory);
         this.readinessServer = new CallerServer(loop, lag, this::ready, () -> LOCAL_LIMITS);
         CallerHandler heartbeatHandler = new HeartbeatHandler(heartbeatCodec, gate, control);
--- a/router/src/main/java/org/siskintiller/router/control/PeerDirectory.java
+++ b/router/src/main/java/org/siskintiller/router/control/PeerDirectory.java
@@ -24,6 +24,7 @@
 import org.siskintiller.router.peer.PeerEvents;
 import org.siskintiller.router.peer.PeerIdentity;
 import org.siskintiller.router.peer.PeerStatus;
+import org.siskintiller.router.peer.PeerTraffic;
 import org.siskintiller.router.request.Backends;
 import org.siskintiller.router.request.Destination;
 import org.siskintiller.router.request.ForwardedRequest;
@@ -46,6 +47,7 @@
     private final String ownDomain;
     private final String ownService;
     private final LinkPacer pacer;
+    private final PeerTraffic traffic;
     private final ControlState state;
     private final BackendGate gate;
     private final FleetIntervals intervals;
@@ -57,6 +59,7 @@
     public PeerDirectory(
             ControlSettings settings,
             LinkPacer pacer,
+            PeerTraffic traffic,
             ControlState state,
             BackendGate gate,
             FleetIntervals intervals,
@@ -67,6 +70,7 @@
         this.ownDomain = member.failureDomain();
         this.ownService = member.service();
         this.pacer = pacer;
+        this.traffic = traffic;
         this.state = state;
         this.gate = gate;
         this.intervals = intervals;
@@ -86,7 +90,8 @@
             }
             PeerClient client = clients.get(member.instance());
             if (client == null) {
-                client = new PeerClient(identity, member.instance(), member.address(), intervals, pacer, events);
+                client = new PeerClient(
+                        identity, member.instance(), member.address(), intervals, pacer, traffic, events);
                 clients.put(member.instance(), client);
                 client.connect();
             } else {
--- a/router/src/main/java/org/siskintiller/router/peer/LinkPacer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/LinkPacer.java
@@ -21,6 +21,7 @@
     static final double BODY_SHARE = 0.8;
 
     private final EventLoop loop;
+    private final long linkBytesPerSecond;
     private final LinkBudget budget;
     private final LinkForecast forecast;
     private final Deque<Write> waiting = new ArrayDeque<>();
@@ -32,6 +33,7 @@
 
     public LinkPacer(EventLoop loop, long linkBytesPerSecond) {
         this.loop = loop;
+        this.linkBytesPerSecond = linkBytesPerSecond;
         this.budget = new LinkBudget(linkBytesPerSecond * BODY_SHARE);
         this.forecast = new LinkForecast(linkBytesPerSecond * BODY_SHARE);
     }
@@ -63,6 +65,10 @@
         requestBodies.remove(body);
     }
 
+    long linkBytesPerSecond() {
+        return linkBytesPerSecond;
+    }
+
     EventLoop loop() {
         return loop;
     }
--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -66,6 +66,7 @@
     private final FleetIntervals intervals;
     private final PeerEvents events;
     private final PeerStreams streams;
+    private final PeerTraffic traffic;
     private Address address;
     private Channel channel;
     /** Whether the companion has introduced itself on the channel. */
@@ -88,6 +89,7 @@
             Address address,
             FleetIntervals intervals,
             LinkPacer pacer,
+            PeerTraffic traffic,
             PeerEvents events) {
         this.self = self;
         this.instance = instance;
@@ -95,6 +97,7 @@
         this.loop = pacer.loop();
         this.intervals = intervals;
         this.streams = new PeerStreams(pacer);
+        this.traffic = traffic;
         this.events = events;
         this.connector = new PeerConnector(
                 loop, intervals, (to, timeoutMs) -> Sockets.connect(loop, to, timeoutMs, new Initializer()));
@@ -419,7 +422,9 @@
     private final class Initializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel newChannel) {
-            PeerPipeline.add(newChannel.pipeline(), PeerPipeline.MAX_RESPONSE_FRAME_BYTES, new FrameReader());
+            FrameMeter meter = new FrameMeter(traffic);
+            meter.setPeer(instance);
+            PeerPipeline.add(newChannel.pipeline(), PeerPipeline.MAX_RESPONSE_FRAME_BYTES, meter, new FrameReader());
         }
     }
 
--- a/router/src/main/java/org/siskintiller/router/peer/PeerPipeline.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerPipeline.java
@@ -23,12 +23,13 @@
     private PeerPipeline() {}
 
     /** Adds the handlers of a connection. The side that connected receives smaller frames than the other one. */
-    static void add(ChannelPipeline pipeline, int maxFrameBytes, ChannelHandler handler) {
+    static void add(ChannelPipeline pipeline, int maxFrameBytes, FrameMeter meter, ChannelHandler handler) {
         pipeline.addLast(new FlushConsolidationHandler(MAX_FLUSHES_COMBINED, true));
         pipeline.addLast(new LengthFieldBasedFrameDecoder(maxFrameBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
         pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
         pipeline.addLast(new ProtobufDecoder(Frame.getDefaultInstance()));
         pipeline.addLast(new ProtobufEncoder());
+        pipeline.addLast(meter);
         pipeline.addLast(handler);
     }
 }
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -53,11 +53,11 @@
     private final BackendGate gate;
     private final PeerEvents events;
     private final LinkPacer pacer;
+    private final PeerTraffic traffic;
     /** Paces the credit for the bodies of requests, so that all companions together do not fill the link of this machine. */
     private final LinkPacer incoming;
 
     private final RequestMemory memory;
-    private final long linkBytesPerSecond;
     private final Set<Connection> connections = new HashSet<>();
     private final IntroductionCheck introductions;
     private long acceptedConnections;
@@ -69,8 +69,8 @@
             BackendGate gate,
             PeerEvents events,
             LinkPacer pacer,
-            RequestMemory memory,
-            long linkBytesPerSecond) {
+            PeerTraffic traffic,
+            RequestMemory memory) {
         this.self = self;
         this.introductions = new IntroductionCheck(self);
         this.loop = pacer.loop();
@@ -78,16 +78,18 @@
         this.gate = gate;
         this.events = events;
         this.pacer = pacer;
-        this.incoming = new LinkPacer(loop, linkBytesPerSecond);
+        this.traffic = traffic;
+        this.incoming = new LinkPacer(loop, pacer.linkBytesPerSecond());
         this.memory = memory;
-        this.linkBytesPerSecond = linkBytesPerSecond;
     }
 
     public void bind(Address address) throws IOException {
         server = Sockets.bind(loop, address, new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                PeerPipeline.add(channel.pipeline(), PeerPipeline.MAX_REQUEST_FRAME_BYTES, new Connection());
+                FrameMeter meter = new FrameMeter(traffic);
+                PeerPipeline.add(
+                        channel.pipeline(), PeerPipeline.MAX_REQUEST_FRAME_BYTES, meter, new Connection(meter));
             }
         });
     }
@@ -125,6 +127,7 @@
 
     private final class Connection extends SimpleChannelInboundHandler<Frame> {
         private final Map<Integer, Stream> streams = new HashMap<>();
+        private final FrameMeter meter;
         private Channel channel;
         /** Number of the connection in the order in which they were accepted. */
         private long number;
@@ -133,6 +136,10 @@
         /** Whether a later process of the instance is known. Only the requests that run go on. */
         private boolean isRetired;
 
+        private Connection(FrameMeter meter) {
+            this.meter = meter;
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext context) {
             channel = context.channel();
@@ -235,6 +242,7 @@
                 return;
             }
             peer = PeerIdentity.of(frame.getHello());
+            meter.setPeer(peer.instance());
             if (standing == PeerProcesses.Standing.SUCCESSOR) {
                 retireEarlierProcesses(peer);
             }
@@ -254,13 +262,13 @@
 
         private void request(CompanionProto.Request request) {
             ForwardedRequest forwarded = Frames.request(request, lag.earliestArrivalNs());
-            Stream stream = new Stream(this, request.getStream(), forwarded.kind() == RequestKind.DOWNLOAD);
+            Stream stream = new Stream(this, request.getStream(), forwarded);
             int following = request.getBodyLength();
             if (following < 0 || following > PeerPipeline.MAX_REQUEST_FRAME_BYTES) {
                 throw new CorruptedFrameException("request with a body of " + following + " bytes");
             }
             streams.put(stream.id, stream);
-            if (!stream.reserveMemory(forwarded, Math.max(following, forwarded.body().length))) {
+            if (!stream.reserveMemory(Math.max(following, forwarded.body().length))) {
                 return;
             }
             if (following > 0) {
@@ -295,9 +303,11 @@
 
         private void cancel(int id) {
             Stream stream = streams.remove(id);
-            if (stream != null) {
-                stream.cancel();
+            if (stream == null) {
+                return;
             }
+            PeerLog.cancelled(stream.requestId, instance(), stream.transitMs, meter.transitMs());
+            stream.cancel();
         }
     }
 
@@ -305,6 +315,9 @@
     private final class Stream implements ResponseListener {
         private final Connection connection;
         private final int id;
+        private final String requestId;
+        /** Time that the request has waited on its way from the other companion. */
+        private final long transitMs;
         /** Whether the body waits for the link. Small responses would wait for seconds behind those of downloads. */
         private final boolean isPaced;
 
@@ -320,10 +333,12 @@
         /** Parts of the response that wait for the link. What follows them waits too, to keep the order. */
         private int waitingWrites;
 
-        private Stream(Connection connection, int id, boolean isPaced) {
+        private Stream(Connection connection, int id, ForwardedRequest request) {
             this.connection = connection;
             this.id = id;
-            this.isPaced = isPaced;
+            this.requestId = request.requestId();
+            this.transitMs = connection.meter.transitMs();
+            this.isPaced = request.kind() == RequestKind.DOWNLOAD;
         }
 
         @Override
@@ -368,18 +383,7 @@
             LinkForecast forecast = pacer.forecast();
             if (!forecast.accepts(arrivalNs, nowNs, request.objectiveNs(), request.deadlineNs())) {
                 long retryAfterMs = forecast.retryAfterMs(arrivalNs, nowNs, request.objectiveNs());
-                EventLog.log(
-                        LogEvent.ATTEMPT_REFUSED,
-                        "request",
-                        request.requestId(),
-                        "by",
-                        "link",
-                        "arrival_ms",
-                        TimeUnit.NANOSECONDS.toMillis(arrivalNs),
-                        "objective_ms",
-                        TimeUnit.NANOSECONDS.toMillis(request.objectiveNs() - nowNs),
-                        "retry_after_ms",
-                        retryAfterMs);
+                PeerLog.refusedForLink(requestId, arrivalNs, request.objectiveNs() - nowNs, retryAfterMs);
                 refused(new Refusal(RefusalReason.OVERLOADED, retryAfterMs, false));
                 return false;
             }
@@ -388,21 +392,12 @@
         }
 
         /** Refuses a request before the bytes of its body are read, unless there is memory for them. */
-        private boolean reserveMemory(ForwardedRequest request, int bytes) {
+        private boolean reserveMemory(int bytes) {
             if (memory.tryReserve(bytes, bytes)) {
                 reservedBytes = bytes;
                 return true;
             }
-            EventLog.log(
-                    LogEvent.ATTEMPT_REFUSED,
-                    "request",
-                    request.requestId(),
-                    "by",
-                    "memory",
-                    "body_bytes",
-                    bytes,
-                    "held_bytes",
-                    memory.heldBytes());
+            PeerLog.refusedForMemory(requestId, bytes, memory.heldBytes());
             refused(new Refusal(RefusalReason.OVERLOADED, MEMORY_RETRY_AFTER_MS, false));
             return false;
         }
@@ -415,7 +410,7 @@
                 return;
             }
             body = new IncomingBody(
-                    head, length, linkBytesPerSecond, incoming, bytes -> write(Frames.credit(id, bytes)));
+                    head, length, pacer.linkBytesPerSecond(), incoming, bytes -> write(Frames.credit(id, bytes)));
             bodyTimer = loop.schedule(
                     () -> refused(new Refusal(RefusalReason.EXPIRED, 0, false)),
                     Math.max(0, body.deadlineNs() - nowNs),
--- a/router/src/test/java/org/siskintiller/router/control/AuthorityDriverTest.java
+++ b/router/src/test/java/org/siskintiller/router/control/AuthorityDriverTest.java
@@ -21,7 +21,7 @@
         ControlState state = new ControlState();
         ControlSettings settings = new ControlSettings(self, INCARNATION);
         PeerDirectory peers =
-                new PeerDirectory(settings, null, state, null, new FleetIntervals(), new MetricRegistry());
+                new PeerDirectory(settings, null, null, state, null, new FleetIntervals(), new MetricRegistry());
         driver = new AuthorityDriver(settings, state, peers, null);
     }
 
--- a/router/src/test/java/org/siskintiller/router/peer/IncomingBodyTest.java
+++ b/router/src/test/java/org/siskintiller/router/peer/IncomingBodyTest.java
@@ -73,7 +73,8 @@
         backend.bind(new Address("127.0.0.1", 0));
         gate = OpenGate.create(loop, lag, new Address("127.0.0.1", backend.port()));
         LinkPacer pacer = new LinkPacer(loop, LINK_BYTES_PER_S);
-        server = new PeerServer(SERVER, lag, gate, new Events(), pacer, memory, LINK_BYTES_PER_S);
+        server = new PeerServer(
+                SERVER, lag, gate, new Events(), pacer, new PeerTraffic(loop, new MetricRegistry()), memory);
         server.bind(new Address("127.0.0.1", 0));
         peer = new Socket("127.0.0.1", server.port());
         peer.setSoTimeout(TIMEOUT_MS);
@@ -121,7 +122,14 @@
             Events events = new Events();
             Address address = new Address("127.0.0.1", server.port());
             LinkPacer pacer = new LinkPacer(loop, LINK_BYTES_PER_S);
-            PeerClient client = new PeerClient(CLIENT, "other", address, new FleetIntervals(), pacer, events);
+            PeerClient client = new PeerClient(
+                    CLIENT,
+                    "other",
+                    address,
+                    new FleetIntervals(),
+                    pacer,
+                    new PeerTraffic(loop, new MetricRegistry()),
+                    events);
             // Otherwise the first request may still use the memory.
             nextCredit();
             write(Frames.cancel(STREAM));
--- a/router/src/test/java/org/siskintiller/router/peer/PeerClientTest.java
+++ b/router/src/test/java/org/siskintiller/router/peer/PeerClientTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 
+import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -56,7 +57,13 @@
         server.setSoTimeout(TIMEOUT_MS);
         Address address = new Address("127.0.0.1", server.getLocalPort());
         client = new PeerClient(
-                SELF, "other", address, new FleetIntervals(), new LinkPacer(loop, 1_000_000), new NoEvents());
+                SELF,
+                "other",
+                address,
+                new FleetIntervals(),
+                new LinkPacer(loop, 1_000_000),
+                new PeerTraffic(loop, new MetricRegistry()),
+                new NoEvents());
         loop.execute(client::connect);
     }
 
--- a/router/src/test/java/org/siskintiller/router/peer/PeerServerTest.java
+++ b/router/src/test/java/org/siskintiller/router/peer/PeerServerTest.java
@@ -68,7 +68,14 @@
         backend.bind(new Address("127.0.0.1", 0));
         BackendGate gate = OpenGate.create(loop, lag, new Address("127.0.0.1", backend.port()));
         LinkPacer pacer = new LinkPacer(loop, 1_000_000);
-        server = new PeerServer(SELF, lag, gate, new Events(), pacer, new RequestMemory(100_000), 1_000_000);
+        server = new PeerServer(
+                SELF,
+                lag,
+                gate,
+                new Events(),
+                pacer,
+                new PeerTraffic(loop, new MetricRegistry()),
+                new RequestMemory(100_000));
         server.bind(new Address("127.0.0.1", 0));
     }
 
