--- a/router/src/main/java/org/siskintiller/router/control/ControlState.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlState.java
@@ -138,6 +138,16 @@
         return Optional.ofNullable(tables.get(service));
     }
 
+    /** Rows of all key tables. */
+    int rows() {
+        return tables.values().stream().mapToInt(table -> table.grants().size()).sum();
+    }
+
+    /** Highest fence of all key tables. */
+    long lastFence() {
+        return tables.values().stream().mapToLong(KeyTable::lastFence).max().orElse(0);
+    }
+
     /** Losses of runs beside the instance, as its companion has recorded them. */
     List<RecordedLoss> losses(String instance) {
         return losses.getOrDefault(instance, List.of());
--- a/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
+++ b/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
@@ -46,6 +46,8 @@
         metrics.gauge("peers.connected", () -> this::connectedPeers);
         metrics.gauge("store.era", () -> state::era);
         metrics.gauge("store.lost_tables", () -> () -> state.lostTables().size());
+        metrics.gauge("keys.rows", () -> state::rows);
+        metrics.gauge("keys.last_fence", () -> state::lastFence);
     }
 
     /** Sets whether this companion reads in any case, because it must know the present state of the store. */
--- a/router/src/main/java/org/siskintiller/router/peer/PeerTraffic.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerTraffic.java
@@ -24,7 +24,6 @@
     /** Delay from which frames count as waiting: a caller's shortest objective is some hundred milliseconds. */
     private static final long LOGGED_DELAY_MS = 100;
 
-    private final MetricRegistry metrics;
     private final Timer writeTimer;
     private final Timer transitTimer;
     private final Map<Frame.KindCase, Counter> sent = new EnumMap<>(Frame.KindCase.class);
@@ -33,15 +32,16 @@
     private Longest transit = Longest.NONE;
 
     public PeerTraffic(EventLoop loop, MetricRegistry metrics) {
-        this.metrics = metrics;
         this.writeTimer = metrics.timer("peer.write_wait");
         this.transitTimer = metrics.timer("peer.transit");
+        for (Frame.KindCase kind : Frame.KindCase.values()) {
+            sent.put(kind, metrics.counter("peer.sent_bytes." + name(kind)));
+        }
         loop.scheduleWithFixedDelay(this::logDelays, LOG_INTERVAL_MS, LOG_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     void sent(Frame frame) {
-        sent.computeIfAbsent(frame.getKindCase(), kind -> metrics.counter("peer.sent_bytes." + name(kind)))
-                .inc(frame.getSerializedSize());
+        sent.get(frame.getKindCase()).inc(frame.getSerializedSize());
     }
 
     /** Counts a frame that the socket has taken, or that was dropped with its connection. */
