Send companions the changed rows of key tables in place of whole tables

Callers saw work go on after they had left (GONE): a cancellation reached the companion that held the request up to seconds after it was sent.

Cause: a change of a few rows was passed on as a whole table of 20 KB and more, to 26 companions of a failure domain several times a second, and was added to the replies to renewals. The links of 10 Mbit/s of the companions that read the store, and of the authority, were full. Requests, cancellations and statuses waited in the link.

Change: a table of the same term that the receiver already has is sent as its rows with a higher fence (TableDifferences). The sender knows the receiver's table from what it has sent on the connection (RecordSender), the authority from the fence in the renewal. A receiver without the base reads the store. Records in the store stay whole.

--- a/core/src/main/java/org/siskintiller/core/keyrange/KeyTable.java
+++ b/core/src/main/java/org/siskintiller/core/keyrange/KeyTable.java
@@ -1,6 +1,7 @@
 package org.siskintiller.core.keyrange;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -98,6 +99,34 @@
         return free;
     }
 
+    /** Returns the grants with a higher fence: what has changed since the table of the same term with this last fence. */
+    public List<KeyGrant> grantsAfter(long fence) {
+        return grants.stream().filter(grant -> grant.fence() > fence).toList();
+    }
+
+    /**
+     * Returns a later table of the same term, in which the authority has only assigned ranges with new fences.
+     *
+     * @param changed {@link #grantsAfter} the last fence of this table, or of an earlier one, in the later table
+     */
+    public KeyTable updated(long newLastFence, List<KeyGrant> changed) {
+        List<KeyRange> cuts = changed.stream().map(KeyGrant::range).toList();
+        List<KeyGrant> next = new ArrayList<>(changed);
+        int first = 0;
+        for (KeyGrant grant : grants) {
+            while (first < cuts.size() && cuts.get(first).to() < grant.range().from()) {
+                first++;
+            }
+            int end = first;
+            while (end < cuts.size() && cuts.get(end).from() <= grant.range().to()) {
+                end++;
+            }
+            next.addAll(grant.without(cuts.subList(first, end)));
+        }
+        next.sort(Comparator.comparingInt(grant -> grant.range().from()));
+        return new KeyTable(service, term, newLastFence, next);
+    }
+
     /** Returns a table that assigns the range to a holder with a new fence. Overlapping grants are cut. */
     public KeyTable assign(KeyRange range, Holder holder, String handover, long newTerm) {
         long fence = lastFence + 1;
--- a/router/src/main/java/org/siskintiller/router/control/AuthorityDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/AuthorityDriver.java
@@ -24,7 +24,7 @@
 import org.siskintiller.node.LogEvent;
 import org.siskintiller.router.peer.LeaseReply;
 import org.siskintiller.router.peer.PeerClient;
-import org.siskintiller.router.store.StoredRecord;
+import org.siskintiller.router.peer.SharedRecord;
 import org.siskintiller.router.store.TopicFeed;
 
 /** Takes part in the election of the lease authority. As the authority, replies to renewals and proposes key tables. */
@@ -40,6 +40,7 @@
     private final ControlState state;
     private final PeerDirectory peers;
     private final RecordAppender appender;
+    private final TableDifferences differences;
     private final Election election = new Election();
     private final Map<String, Proposal> proposals = new HashMap<>();
     private TopicFeed feed;
@@ -60,12 +61,18 @@
     /** Highest term of another authority that requested the resignation of this one. */
     private long successorTerm;
 
-    AuthorityDriver(ControlSettings settings, ControlState state, PeerDirectory peers, RecordAppender appender) {
+    AuthorityDriver(
+            ControlSettings settings,
+            ControlState state,
+            PeerDirectory peers,
+            RecordAppender appender,
+            TableDifferences differences) {
         this.settings = settings;
         this.self = settings.self().instance();
         this.state = state;
         this.peers = peers;
         this.appender = appender;
+        this.differences = differences;
     }
 
     void start(TopicFeed newFeed, ConfigFeed newConfig) {
@@ -273,9 +280,10 @@
         boolean mayRenew = Authority.mayRenew(feed.lastContactNs(), nowNs);
         Optional<List<KeyRange>> renewal =
                 mayRenew ? authority.renew(report, committed, nowNs) : Optional.<List<KeyRange>>empty();
-        List<StoredRecord> missing = new ArrayList<>();
+        List<SharedRecord> missing = new ArrayList<>();
         if (report.lastFence() < committed.lastFence()) {
-            state.record(ControlRecords.keyTableKey(service)).ifPresent(missing::add);
+            state.record(ControlRecords.keyTableKey(service))
+                    .ifPresent(record -> missing.add(differences.since(report.lastFence(), record)));
         }
         if (renewal.isEmpty()) {
             EventLog.log(
--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -29,6 +29,7 @@
 import org.siskintiller.router.peer.PeerClient;
 import org.siskintiller.router.peer.PeerEvents;
 import org.siskintiller.router.peer.PeerStatus;
+import org.siskintiller.router.peer.SharedRecord;
 import org.siskintiller.router.request.RequestRouter;
 import org.siskintiller.router.store.StoreFeeds;
 import org.siskintiller.router.store.StoreTopic;
@@ -53,6 +54,7 @@
     private final ControlSettings settings;
     private final String self;
     private final RecordAppender appender;
+    private final TableDifferences differences;
     private final AuthorityDriver authority;
     private final Findings findings;
     private final HolderReporter reporter;
@@ -99,9 +101,10 @@
         this.self = settings.self().instance();
         this.appender = new RecordAppender(feeds.store());
         this.registration = new MemberRegistration(settings.self(), state, appender);
-        this.authority = new AuthorityDriver(settings, state, peers, appender);
+        this.differences = supply.sender().differences();
+        this.authority = new AuthorityDriver(settings, state, peers, appender, differences);
         this.findings = new Findings(self, state, peers, appender, backend, loop);
-        this.sharing = new RecordSharing(state, peers);
+        this.sharing = new RecordSharing(state, peers, supply.sender());
         this.reporter = new HolderReporter(settings.self(), state, backend);
         this.loop = loop;
         this.state = state;
@@ -282,7 +285,7 @@
         }
         latestTerm = reply.term();
         lastAuthorityMessageNs = nowNs;
-        reply.records().forEach(this::apply);
+        reply.records().forEach(this::applyShared);
         detectPause();
         if (reply.leaseMs() > 0) {
             holder.renewed(sentNs, reply.leaseMs());
@@ -325,14 +328,22 @@
     }
 
     @Override
-    public void recordsReceived(List<StoredRecord> records, boolean complete) {
-        records.forEach(this::apply);
+    public void recordsReceived(List<SharedRecord> records, boolean complete) {
+        records.forEach(this::applyShared);
         feed.recordsPassedOn();
         if (complete) {
             allRecordsKnown();
         }
     }
 
+    private void applyShared(SharedRecord shared) {
+        Optional<StoredRecord> whole = differences.complete(shared);
+        whole.ifPresent(this::apply);
+        if (whole.isEmpty()) {
+            feed.newerRecordsExist();
+        }
+    }
+
     private void evacuationsChanged() {
         router.backendsChanged();
         authority.evacuationsChanged();
--- a/router/src/main/java/org/siskintiller/router/control/ControlState.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlState.java
@@ -33,6 +33,9 @@
     /** Records of the tables by key. One of an earlier era stays here until a table with a higher fence is read. */
     private final Map<String, StoredRecord> tableRecords = new HashMap<>();
 
+    /** Last fence of the first known table of the present term, by service. */
+    private final Map<String, Long> termStartFences = new HashMap<>();
+
     private final Map<String, List<RecordedLoss>> losses = new HashMap<>();
     private final Map<String, BackendLeaves> leaves = new HashMap<>();
     private AuthorityClaim authority = AuthorityClaim.NONE;
@@ -138,6 +141,21 @@
         return Optional.ofNullable(tables.get(service));
     }
 
+    /** Whether the table of the record is in force. */
+    boolean isInForce(StoredRecord record) {
+        return record == tableRecords.get(record.key());
+    }
+
+    /** Whether the record is the newest known one of its key. */
+    boolean isNewest(StoredRecord record) {
+        return record == newest.get(record.key());
+    }
+
+    /** Last fence of the first known table of the term in which the table in force was written. */
+    long termStartFence(String service) {
+        return termStartFences.getOrDefault(service, Long.MAX_VALUE);
+    }
+
     /** Rows of all key tables. */
     int rows() {
         return tables.values().stream().mapToInt(table -> table.grants().size()).sum();
@@ -239,6 +257,9 @@
         boolean changed = known == null || table.lastFence() > known.lastFence();
         if (changed) {
             tables.put(service, table);
+            if (known == null || known.term() != table.term()) {
+                termStartFences.put(service, table.lastFence());
+            }
         }
         if (changed || isNewer(record)) {
             tableRecords.put(record.key(), record);
--- a/router/src/main/java/org/siskintiller/router/control/RecordSharing.java
+++ b/router/src/main/java/org/siskintiller/router/control/RecordSharing.java
@@ -13,14 +13,16 @@
 
     private final ControlState state;
     private final PeerDirectory peers;
+    private final RecordSender sender;
     /** Term and number of tables that were sent last. */
     private long sentTerm = -1;
 
     private int sentTables;
 
-    RecordSharing(ControlState state, PeerDirectory peers) {
+    RecordSharing(ControlState state, PeerDirectory peers, RecordSender sender) {
         this.state = state;
         this.peers = peers;
+        this.sender = sender;
     }
 
     /** Sends the records that a companion without contact to the store lacks. */
@@ -29,7 +31,7 @@
         if (status.storeAgeMs() > STALE_STORE_CONTACT_MS
                 && peers.suppliesUpdatesTo(client.instance())
                 && status.recordsPosition() < client.knownPosition()) {
-            client.shareRecords(state.records(), complete);
+            sender.sendWhole(client, state.records(), complete);
         }
         client.recordKnown(state.position());
     }
@@ -45,7 +47,7 @@
             return;
         }
         peers.client(claim.instance()).filter(PeerClient::connected).ifPresent(client -> {
-            client.shareRecords(lost, false);
+            sender.sendWhole(client, lost, false);
             sentTerm = claim.term();
             sentTables = lost.size();
         });
--- a/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
+++ b/router/src/main/java/org/siskintiller/router/control/StoreSupply.java
@@ -29,6 +29,7 @@
     private final Member self;
     private final ControlState state;
     private final PeerDirectory peers;
+    private final RecordSender sender;
     private final Counter sentConfigBytes;
     private Set<String> readers = Set.of();
     private boolean hasSupplier;
@@ -42,6 +43,7 @@
         this.self = self;
         this.state = state;
         this.peers = peers;
+        this.sender = new RecordSender(state);
         this.sentConfigBytes = metrics.counter("config.sent_bytes");
         metrics.gauge("peers.connected", () -> this::connectedPeers);
         metrics.gauge("store.era", () -> state::era);
@@ -50,6 +52,10 @@
         metrics.gauge("keys.last_fence", () -> state::lastFence);
     }
 
+    RecordSender sender() {
+        return sender;
+    }
+
     /** Sets whether this companion reads in any case, because it must know the present state of the store. */
     void setAlwaysReads(boolean reads) {
         alwaysReads = reads;
@@ -83,7 +89,7 @@
     /** Passes records of the store on to the companions that this one supplies. */
     void passOn(List<StoredRecord> records) {
         if (!records.isEmpty()) {
-            suppliedClients().forEach(client -> client.shareRecords(records, false));
+            suppliedClients().forEach(client -> sender.send(client, records, false));
         }
     }
 
--- a/router/src/main/java/org/siskintiller/router/peer/Frames.java
+++ b/router/src/main/java/org/siskintiller/router/peer/Frames.java
@@ -244,7 +244,7 @@
             builder.addRelease(
                     CompanionProto.Range.newBuilder().setFrom(range.from()).setTo(range.to()));
         }
-        for (StoredRecord record : reply.records()) {
+        for (SharedRecord record : reply.records()) {
             builder.addRecords(record(record));
         }
         return Frame.newBuilder().setLeaseReply(builder).build();
@@ -266,10 +266,10 @@
                 .build();
     }
 
-    static Frame sharedRecords(List<StoredRecord> records, boolean complete) {
+    static Frame sharedRecords(List<SharedRecord> records, boolean complete) {
         CompanionProto.SharedRecords.Builder builder =
                 CompanionProto.SharedRecords.newBuilder().setComplete(complete);
-        for (StoredRecord record : records) {
+        for (SharedRecord record : records) {
             builder.addRecords(record(record));
         }
         return Frame.newBuilder().setSharedRecords(builder).build();
@@ -281,11 +281,12 @@
                 .build();
     }
 
-    static List<StoredRecord> records(List<CompanionProto.SharedRecord> shared) {
-        List<StoredRecord> records = new ArrayList<>();
+    static List<SharedRecord> records(List<CompanionProto.SharedRecord> shared) {
+        List<SharedRecord> records = new ArrayList<>();
         for (CompanionProto.SharedRecord record : shared) {
-            records.add(new StoredRecord(
-                    record.getKey(), record.getValue().toByteArray(), record.getOffset(), record.getEra()));
+            StoredRecord stored = new StoredRecord(
+                    record.getKey(), record.getValue().toByteArray(), record.getOffset(), record.getEra());
+            records.add(new SharedRecord(stored, record.getBaseFence()));
         }
         return records;
     }
@@ -312,12 +313,14 @@
         return incarnations;
     }
 
-    private static CompanionProto.SharedRecord record(StoredRecord record) {
+    private static CompanionProto.SharedRecord record(SharedRecord shared) {
+        StoredRecord record = shared.record();
         return CompanionProto.SharedRecord.newBuilder()
                 .setKey(record.key())
                 .setValue(ByteString.copyFrom(record.value()))
                 .setOffset(record.offset())
                 .setEra(record.era())
+                .setBaseFence(shared.baseFence())
                 .build();
     }
 
--- a/router/src/main/java/org/siskintiller/router/peer/LeaseReply.java
+++ b/router/src/main/java/org/siskintiller/router/peer/LeaseReply.java
@@ -3,7 +3,6 @@
 import java.util.List;
 
 import org.siskintiller.core.keyrange.KeyRange;
-import org.siskintiller.router.store.StoredRecord;
 
 /**
  * Reply of the authority to a renewal.
@@ -13,7 +12,7 @@
  * @param release ranges that the holder must release
  * @param records records that the holder has not read yet
  */
-public record LeaseReply(long term, int sequence, long leaseMs, List<KeyRange> release, List<StoredRecord> records) {
+public record LeaseReply(long term, int sequence, long leaseMs, List<KeyRange> release, List<SharedRecord> records) {
 
     public LeaseReply {
         release = List.copyOf(release);
--- a/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerClient.java
@@ -27,7 +27,6 @@
 import org.siskintiller.router.request.ResponseListener;
 import org.siskintiller.router.request.SendFailure;
 import org.siskintiller.router.request.SentRequest;
-import org.siskintiller.router.store.StoredRecord;
 import org.siskintiller.wire.companion.CompanionProto;
 import org.siskintiller.wire.companion.CompanionProto.Frame;
 
@@ -71,6 +70,8 @@
     private Channel channel;
     /** Whether the companion has introduced itself on the channel. */
     private boolean connected;
+    /** Number of the connections that the companion has introduced itself on. */
+    private long connectionNumber;
 
     private PeerStatus status;
     private final ServerView view = new ServerView();
@@ -111,6 +112,11 @@
         return connected;
     }
 
+    /** Number of the present connection, which tells it from earlier ones. */
+    public long connectionNumber() {
+        return connectionNumber;
+    }
+
     public Optional<PeerStatus> status() {
         return Optional.ofNullable(status);
     }
@@ -239,7 +245,7 @@
      *
      * @param complete whether they are the newest of all keys
      */
-    public void shareRecords(List<StoredRecord> records, boolean complete) {
+    public void shareRecords(List<SharedRecord> records, boolean complete) {
         write(Frames.sharedRecords(records, complete));
     }
 
@@ -305,6 +311,7 @@
             return;
         }
         connected = true;
+        connectionNumber++;
         write(self.introductionTo(peer.process()));
     }
 
--- a/router/src/main/java/org/siskintiller/router/peer/PeerEvents.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerEvents.java
@@ -7,7 +7,6 @@
 import org.siskintiller.core.gate.Suspicion;
 import org.siskintiller.core.lease.HolderReport;
 import org.siskintiller.core.path.BackendLeaves;
-import org.siskintiller.router.store.StoredRecord;
 
 /** Receives what companions send to each other besides requests. */
 public interface PeerEvents {
@@ -41,7 +40,7 @@
      *
      * @param complete whether they are the newest of all keys
      */
-    void recordsReceived(List<StoredRecord> records, boolean complete);
+    void recordsReceived(List<SharedRecord> records, boolean complete);
 
     /** A companion that reads the store sent all evacuations that it knows. */
     void evacuationsReceived(List<Evacuation> evacuations, String from);
--- a/router/src/test/java/org/siskintiller/router/control/AuthorityDriverTest.java
+++ b/router/src/test/java/org/siskintiller/router/control/AuthorityDriverTest.java
@@ -22,7 +22,7 @@
         ControlSettings settings = new ControlSettings(self, INCARNATION);
         PeerDirectory peers =
                 new PeerDirectory(settings, null, null, state, null, new FleetIntervals(), new MetricRegistry());
-        driver = new AuthorityDriver(settings, state, peers, null);
+        driver = new AuthorityDriver(settings, state, peers, null, new TableDifferences(state));
     }
 
     @Nested
--- a/router/src/test/java/org/siskintiller/router/peer/PeerClientTest.java
+++ b/router/src/test/java/org/siskintiller/router/peer/PeerClientTest.java
@@ -34,7 +34,6 @@
 import org.siskintiller.router.request.ResponseHead;
 import org.siskintiller.router.request.ResponseListener;
 import org.siskintiller.router.request.SendFailure;
-import org.siskintiller.router.store.StoredRecord;
 import org.siskintiller.wire.companion.CompanionProto;
 import org.siskintiller.wire.companion.CompanionProto.Frame;
 
@@ -234,7 +233,7 @@
         }
 
         @Override
-        public void recordsReceived(List<StoredRecord> records, boolean complete) {}
+        public void recordsReceived(List<SharedRecord> records, boolean complete) {}
 
         @Override
         public void evacuationsReceived(List<Evacuation> evacuations, String from) {}
