Keep earlier builds from taking changed rows for a whole key table

Cause: the rows that a companion of an earlier build gets in the value of a record would be the whole table to it.

Change: changed rows travel in a field of their own, with an empty value, which an earlier build skips as malformed.

Result: FramesTest.haveChangedRowsInPlaceOfTheValue.

--- a/router/src/main/java/org/siskintiller/router/peer/Frames.java
+++ b/router/src/main/java/org/siskintiller/router/peer/Frames.java
@@ -284,8 +284,9 @@
     static List<SharedRecord> records(List<CompanionProto.SharedRecord> shared) {
         List<SharedRecord> records = new ArrayList<>();
         for (CompanionProto.SharedRecord record : shared) {
-            StoredRecord stored = new StoredRecord(
-                    record.getKey(), record.getValue().toByteArray(), record.getOffset(), record.getEra());
+            ByteString value = record.getBaseFence() == 0 ? record.getValue() : record.getChangedRows();
+            StoredRecord stored =
+                    new StoredRecord(record.getKey(), value.toByteArray(), record.getOffset(), record.getEra());
             records.add(new SharedRecord(stored, record.getBaseFence()));
         }
         return records;
@@ -315,13 +316,17 @@
 
     private static CompanionProto.SharedRecord record(SharedRecord shared) {
         StoredRecord record = shared.record();
-        return CompanionProto.SharedRecord.newBuilder()
+        CompanionProto.SharedRecord.Builder builder = CompanionProto.SharedRecord.newBuilder()
                 .setKey(record.key())
-                .setValue(ByteString.copyFrom(record.value()))
                 .setOffset(record.offset())
-                .setEra(record.era())
-                .setBaseFence(shared.baseFence())
-                .build();
+                .setEra(record.era());
+        ByteString value = ByteString.copyFrom(record.value());
+        if (shared.isWhole()) {
+            builder.setValue(value);
+        } else {
+            builder.setBaseFence(shared.baseFence()).setChangedRows(value);
+        }
+        return builder.build();
     }
 
     private static CompanionProto.Header header(Header header) {
--- a/router/src/test/java/org/siskintiller/router/peer/FramesTest.java
+++ b/router/src/test/java/org/siskintiller/router/peer/FramesTest.java
@@ -10,6 +10,8 @@
 import org.siskintiller.core.path.RequestKind;
 import org.siskintiller.router.request.ForwardedRequest;
 import org.siskintiller.router.request.Header;
+import org.siskintiller.router.store.StoredRecord;
+import org.siskintiller.wire.companion.CompanionProto;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -27,6 +29,26 @@
         }
     }
 
+    @Nested
+    class SharedRecords {
+        /** Guards against rows that an earlier build would take for a whole key table. */
+        @Test
+        void haveChangedRowsInPlaceOfTheValue() {
+            SharedRecord changed = new SharedRecord(new StoredRecord("keys/s", new byte[] {1, 2}, 3, 4), 5);
+
+            CompanionProto.SharedRecord frame = Frames.sharedRecords(List.of(changed), false)
+                    .getSharedRecords()
+                    .getRecords(0);
+
+            assertThat(frame.getValue().isEmpty()).isTrue();
+            SharedRecord received = Frames.records(List.of(frame)).get(0);
+            assertThat(received.baseFence()).isEqualTo(5);
+            assertThat(received.record().key()).isEqualTo("keys/s");
+            assertThat(received.record().value()).isEqualTo(new byte[] {1, 2});
+            assertThat(received.record().position()).isEqualTo(changed.record().position());
+        }
+    }
+
     @Nested
     class Request {
         /** Guards against a download whose body does not wait for the link, since its kind is lost on the way. */
