Decide apart from sockets which key tables a companion has

Cause: what was sent on a connection was kept in the class that sends, so that the loss of a connection could not be tested without sockets.

Change: SentTables keeps it; ControlRecords names the keys of tables once.

--- a/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlDriver.java
@@ -207,8 +207,8 @@
             router.setCompanions(state.members().size());
         } else if (key.equals(ControlRecords.AUTHORITY_KEY)) {
             authorityChanged(record.offset());
-        } else if (key.startsWith(ControlRecords.KEY_TABLE_PREFIX)) {
-            tableChanged(key.substring(ControlRecords.KEY_TABLE_PREFIX.length()), record.offset());
+        } else if (ControlRecords.isKeyTable(key)) {
+            tableChanged(ControlRecords.serviceOf(key), record.offset());
         } else {
             findings.recordRead(record);
             backendLeft();
@@ -336,6 +336,7 @@
         }
     }
 
+    /** Applies a record of another companion. Reads the store if this one lacks the table that changed rows are based on. */
     private void applyShared(SharedRecord shared) {
         Optional<StoredRecord> whole = differences.complete(shared);
         whole.ifPresent(this::apply);
--- a/router/src/main/java/org/siskintiller/router/control/ControlRecords.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlRecords.java
@@ -35,6 +35,15 @@
         return KEY_TABLE_PREFIX + service;
     }
 
+    static boolean isKeyTable(String key) {
+        return key.startsWith(KEY_TABLE_PREFIX);
+    }
+
+    /** Service of a key table, by the key of its record. */
+    static String serviceOf(String tableKey) {
+        return tableKey.substring(KEY_TABLE_PREFIX.length());
+    }
+
     static String lossesKey(String instance) {
         return LOSSES_PREFIX + instance;
     }
--- a/router/src/main/java/org/siskintiller/router/control/ControlState.java
+++ b/router/src/main/java/org/siskintiller/router/control/ControlState.java
@@ -50,7 +50,7 @@
         if (record.era() == era) {
             end = Math.max(end, record.offset() + 1);
         }
-        boolean isTable = record.key().startsWith(ControlRecords.KEY_TABLE_PREFIX);
+        boolean isTable = ControlRecords.isKeyTable(record.key());
         // Leaves are merged and tables are ordered by fences, so that older records count, too.
         boolean isLeave = record.key().startsWith(ControlRecords.LEAVES_PREFIX);
         if (!isNewer(record) && !isTable && !isLeave) {
@@ -141,8 +141,8 @@
         return Optional.ofNullable(tables.get(service));
     }
 
-    /** Whether the table of the record is in force. */
-    boolean isInForce(StoredRecord record) {
+    /** Whether the record is that of a key table in force. */
+    boolean isTableInForce(StoredRecord record) {
         return record == tableRecords.get(record.key());
     }
 
@@ -247,7 +247,7 @@
      * store has an older table, and an append that was sent before may take effect after it.
      */
     private boolean updateTable(StoredRecord record) throws InvalidProtocolBufferException {
-        String service = record.key().substring(ControlRecords.KEY_TABLE_PREFIX.length());
+        String service = ControlRecords.serviceOf(record.key());
         KeyTable table = ControlRecords.decodeKeyTable(record.value());
         ControlRecords.requireNames(service, table.service());
         KeyTable known = tables.get(service);
--- a/router/src/main/java/org/siskintiller/router/control/RecordSender.java
+++ b/router/src/main/java/org/siskintiller/router/control/RecordSender.java
@@ -1,10 +1,7 @@
 package org.siskintiller.router.control;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 
 import org.siskintiller.core.keyrange.KeyTable;
 import org.siskintiller.router.peer.PeerClient;
@@ -15,8 +12,7 @@
 final class RecordSender {
     private final ControlState state;
     private final TableDifferences differences;
-    /** What was sent to each companion. */
-    private final Map<String, Sent> sent = new HashMap<>();
+    private final SentTables sentTables = new SentTables();
 
     RecordSender(ControlState state) {
         this.state = state;
@@ -36,44 +32,29 @@
         if (!client.connected()) {
             return;
         }
-        Sent known = sent.get(client.instance());
-        if (known == null || known.connection != client.connectionNumber()) {
-            known = new Sent(client.connectionNumber());
-            sent.put(client.instance(), known);
-        }
         List<SharedRecord> shared = new ArrayList<>();
         for (StoredRecord record : records) {
-            if (!record.key().startsWith(ControlRecords.KEY_TABLE_PREFIX)) {
-                shared.add(SharedRecord.whole(record));
-            } else if (state.isInForce(record)) {
-                shared.add(differences.since(known.fences.getOrDefault(record.key(), 0L), record));
-                known.fences.put(record.key(), fence(record));
-            } else if (state.isNewest(record)) {
+            if (state.isTableInForce(record)) {
+                shared.add(changesOf(record, client));
+            } else if (!ControlRecords.isKeyTable(record.key()) || state.isNewest(record)) {
                 shared.add(SharedRecord.whole(record));
             }
         }
         client.shareRecords(shared, complete);
     }
 
-    /** Sends records to a companion that lacks some: what it has of the tables is not known. */
+    /** Sends records to a companion that lacks some, so that its tables are not known. */
     void sendWhole(PeerClient client, List<StoredRecord> records, boolean complete) {
-        sent.remove(client.instance());
+        sentTables.forget(client.instance());
         send(client, records, complete);
     }
 
-    private long fence(StoredRecord record) {
-        String service = record.key().substring(ControlRecords.KEY_TABLE_PREFIX.length());
-        Optional<KeyTable> table = state.table(service);
-        return table.map(KeyTable::lastFence).orElse(0L);
-    }
-
-    /** Last fences of the tables that were sent on one connection, by their keys. */
-    private static final class Sent {
-        private final long connection;
-        private final Map<String, Long> fences = new HashMap<>();
-
-        private Sent(long connection) {
-            this.connection = connection;
-        }
+    private SharedRecord changesOf(StoredRecord record, PeerClient client) {
+        String service = ControlRecords.serviceOf(record.key());
+        long connection = client.connectionNumber();
+        long known = sentTables.fence(client.instance(), connection, service);
+        long sent = state.table(service).map(KeyTable::lastFence).orElse(0L);
+        sentTables.sent(client.instance(), connection, service, sent);
+        return differences.since(known, record);
     }
 }
--- a/router/src/main/java/org/siskintiller/router/control/TableDifferences.java
+++ b/router/src/main/java/org/siskintiller/router/control/TableDifferences.java
@@ -35,7 +35,7 @@
      * @param knownFence last fence of the table that the companion has, 0 if it has none
      */
     SharedRecord since(long knownFence, StoredRecord record) {
-        String service = record.key().substring(ControlRecords.KEY_TABLE_PREFIX.length());
+        String service = ControlRecords.serviceOf(record.key());
         // Within a term ranges are only assigned anew. A table of another term may differ in any row.
         if (knownFence == 0 || knownFence < state.termStartFence(service)) {
             return SharedRecord.whole(record);
