Time only the frames that state when they were sent

Cause: a listener was added for each frame, also for responses and parts of bodies, which are most of the frames.

Change: frames that are not timed are counted and passed on.

Result: PeerServerTest, PeerClientTest and FramesTest pass.

--- a/router/src/main/java/org/siskintiller/router/peer/FrameMeter.java
+++ b/router/src/main/java/org/siskintiller/router/peer/FrameMeter.java
@@ -44,8 +44,9 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (message instanceof Frame frame) {
-            lastTransitMs = frame.getSentMs() == 0 ? 0 : transit.delayMs(frame.getSentMs(), System.nanoTime());
+            lastTransitMs = 0;
             if (frame.getSentMs() != 0) {
+                lastTransitMs = transit.delayMs(frame.getSentMs(), System.nanoTime());
                 traffic.received(peer, frame.getKindCase(), lastTransitMs);
             }
         }
@@ -54,16 +55,21 @@
 
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-        if (!(message instanceof Frame frame)) {
-            context.write(message, promise);
+        if (message instanceof Frame frame && !UNTIMED_KINDS.contains(frame.getKindCase())) {
+            writeTimed(context, frame, promise);
             return;
         }
+        if (message instanceof Frame frame) {
+            traffic.sent(frame);
+        }
+        context.write(message, promise);
+    }
+
+    private void writeTimed(ChannelHandlerContext context, Frame frame, ChannelPromise promise) {
         long startNs = System.nanoTime();
-        Frame.KindCase kind = frame.getKindCase();
-        Frame timed = UNTIMED_KINDS.contains(kind)
-                ? frame
-                : frame.toBuilder().setSentMs(sentMs(startNs)).build();
+        Frame timed = frame.toBuilder().setSentMs(sentMs(startNs)).build();
         traffic.sent(timed);
+        Frame.KindCase kind = frame.getKindCase();
         promise.addListener(done -> traffic.written(peer, kind, System.nanoTime() - startNs));
         context.write(timed, promise);
     }
