Let the test of an ended process send its request before it can be refused

The request of the test then never reached the server.

Change: the introduction and the request are sent in one write, here and in forAnotherProcessClosesTheConnection. The request now reaches the server in any case, and the checks are as they were.

--- a/router/src/test/java/org/siskintiller/router/peer/PeerServerTest.java
+++ b/router/src/test/java/org/siskintiller/router/peer/PeerServerTest.java
@@ -1,5 +1,6 @@
 package org.siskintiller.router.peer;
 
+import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.Socket;
@@ -118,8 +119,7 @@
         @Test
         void forAnotherProcessClosesTheConnection() throws Exception {
             Link link = connect();
-            link.write(FIRST.introductionTo(new Incarnation(2)));
-            link.request("r1", "service", 0);
+            link.write(FIRST.introductionTo(new Incarnation(2)), request("r1", "service", 0));
 
             link.assertClosed();
             assertThat(run).isEmpty();
@@ -173,8 +173,7 @@
             successor.write(SECOND.introductionTo(SELF.process()));
             successor.request("r2", "service", 0);
             successor.next(Frame.KindCase.RESPONSE_START);
-            earlier.write(FIRST.introductionTo(SELF.process()));
-            earlier.request("r1", "service", 0);
+            earlier.write(FIRST.introductionTo(SELF.process()), request("r1", "service", 0));
 
             earlier.assertClosed();
             assertThat(run).containsExactly("r2");
@@ -236,25 +235,19 @@
             output = new DataOutputStream(socket.getOutputStream());
         }
 
-        private void write(Frame frame) throws IOException {
-            PeerClientTest.write(output, frame);
+        /** Sends the frames together, so that the server has all of them when it closes the connection after the first. */
+        private void write(Frame... frames) throws IOException {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            DataOutputStream together = new DataOutputStream(bytes);
+            for (Frame frame : frames) {
+                PeerClientTest.write(together, frame);
+            }
+            output.write(bytes.toByteArray());
+            output.flush();
         }
 
         private void request(String id, String service, int bodyBytes) throws IOException {
-            write(Frame.newBuilder()
-                    .setRequest(CompanionProto.Request.newBuilder()
-                            .setStream(1)
-                            .setService(service)
-                            .setMethod("POST")
-                            .setUri("/")
-                            .setRequestId(id)
-                            .addHeaders(CompanionProto.Header.newBuilder()
-                                    .setName("id")
-                                    .setValue(id))
-                            .setRemainingMs(2_000)
-                            .setObjectiveMs(2_000)
-                            .setBodyLength(bodyBytes))
-                    .build());
+            write(PeerServerTest.request(id, service, bodyBytes));
         }
 
         /** Waits until the server has processed what was written. */
@@ -287,6 +280,22 @@
         }
     }
 
+    private static Frame request(String id, String service, int bodyBytes) {
+        return Frame.newBuilder()
+                .setRequest(CompanionProto.Request.newBuilder()
+                        .setStream(1)
+                        .setService(service)
+                        .setMethod("POST")
+                        .setUri("/")
+                        .setRequestId(id)
+                        .addHeaders(
+                                CompanionProto.Header.newBuilder().setName("id").setValue(id))
+                        .setRemainingMs(2_000)
+                        .setObjectiveMs(2_000)
+                        .setBodyLength(bodyBytes))
+                .build();
+    }
+
     private static final class Events extends PeerClientTest.NoEvents {
         @Override
         public PeerStatus status() {
