--- a/node/src/main/java/org/siskintiller/node/LogEvent.java
+++ b/node/src/main/java/org/siskintiller/node/LogEvent.java
@@ -48,6 +48,16 @@
             Level.DEBUG,
             "request of a pipelined connection waits for a streamed response ahead of it",
             "none; without pipelining it would not wait"),
+    CALLER_CUT(
+            1108,
+            Level.WARN,
+            "connection of a caller closed by this process before all responses had left",
+            "see the cause in the log line; on a slow link, look for what fills it"),
+    REQUESTS_NOT_READ(
+            1109,
+            Level.INFO,
+            "requests arrived behind the last response of a connection and were not handled",
+            "none; their callers send them again"),
 
     SESSION_OPENED(1201, Level.INFO, "session opened", "none"),
     SESSION_ENDED(1202, Level.WARN, "session ended", "none; the companion opens a new one"),
--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -231,7 +231,16 @@
             router.endOpenRequests();
         }
         callerServer.closeIdle();
-        EventLog.log(LogEvent.STOPPED, "after_ms", elapsedMs);
+        EventLog.log(
+                LogEvent.STOPPED,
+                "after_ms",
+                elapsedMs,
+                "caller_connections",
+                callerServer.openConnections(),
+                "caller_bytes",
+                callerServer.unwrittenBytes(),
+                "companion_bytes",
+                peerServer.unwrittenBytes());
         // The responses that were just written need one more pass of the event loop.
         loop.schedule(stopped::countDown, STOP_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -53,6 +53,8 @@
 
     private long arrivedNs;
     private boolean closing;
+    /** Requests that arrived after the last one that is answered. Their caller sends them again on another connection. */
+    private int ignoredRequests;
 
     CallerConnection(CallerServer server) {
         this.server = server;
@@ -62,9 +64,14 @@
         return channel;
     }
 
-    boolean hasPendingWrites() {
+    /** Bytes that the socket has not taken yet. */
+    long unwrittenBytes() {
         ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
-        return buffer != null && buffer.totalPendingWriteBytes() > 0;
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+
+    boolean hasPendingWrites() {
+        return unwrittenBytes() > 0;
     }
 
     boolean isIdle() {
@@ -81,6 +88,9 @@
     public void channelInactive(ChannelHandlerContext context) {
         server.connectionClosed(this);
         server.memory().removed(this);
+        if (ignoredRequests > 0) {
+            EventLog.log(LogEvent.REQUESTS_NOT_READ, "requests", ignoredRequests);
+        }
         head = null;
         releaseBody();
         List<Exchange> open = List.copyOf(exchanges);
@@ -97,6 +107,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (closing) {
+                ignoredRequests += message instanceof HttpRequest ? 1 : 0;
                 return;
             }
             if (message instanceof HttpRequest request) {
@@ -126,7 +137,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         EventLog.log(LogEvent.REQUEST_REJECTED, "cause", String.valueOf(cause.getMessage()));
-        context.close();
+        close("the connection failed: " + cause.getMessage());
     }
 
     /** Removes the responses that are fully written and writes the next one. */
@@ -180,6 +191,23 @@
 
     void abort() {
         closing = true;
+        close("a response cannot be completed");
+    }
+
+    /** Closes the connection at once. What the socket has not taken yet is lost. */
+    private void close(String cause) {
+        if (channel.isOpen() && (hasPendingWrites() || !exchanges.isEmpty())) {
+            EventLog.log(
+                    LogEvent.CALLER_CUT,
+                    "cause",
+                    cause,
+                    "unwritten_bytes",
+                    unwrittenBytes(),
+                    "open",
+                    exchanges.size(),
+                    "stopping",
+                    server.isStopping());
+        }
         channel.close();
     }
 
@@ -197,7 +225,8 @@
      */
     private void closeAfterResponse() {
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> ((SocketChannel) channel).shutdownOutput());
-        channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        channel.eventLoop()
+                .schedule(() -> close("the caller has not closed in time"), LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
     void closeWhenIdle() {
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
@@ -91,6 +91,15 @@
         return connections.stream().anyMatch(CallerConnection::hasPendingWrites);
     }
 
+    /** Bytes of responses that have not been handed to the network yet. */
+    public long unwrittenBytes() {
+        return connections.stream().mapToLong(CallerConnection::unwrittenBytes).sum();
+    }
+
+    public int openConnections() {
+        return connections.size();
+    }
+
     public void close() {
         serverChannel.close();
     }
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -7,12 +7,14 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -112,6 +114,15 @@
         return pacer.waiting();
     }
 
+    /** Bytes of frames that have not been handed to the network yet. */
+    public long unwrittenBytes() {
+        return connections.stream()
+                .map(connection -> connection.channel.unsafe().outboundBuffer())
+                .filter(Objects::nonNull)
+                .mapToLong(ChannelOutboundBuffer::totalPendingWriteBytes)
+                .sum();
+    }
+
     public void close() {
         server.close();
     }
