Close connections only when their bytes have arrived

Callers saw: a planned stop of a machine cut responses that their backend servers had completed, from 10 KB on, when they took longer than 500 ms on the link of the machine.

Cause: CallerConnection closed a connection 500 ms after the last part of its last response was queued, whatever still waited in the process or on the link. A socket that is closed while input is unread or under way resets its connection, which drops what has not arrived. The same close was used where a response could not be completed, which dropped complete responses ahead of it. The process ended with bytes to companions that no socket had taken.

Change: LingeringClose is the one way to close a connection that has carried a response: the output when the socket has taken every byte, the connection when the peer has closed its side. A stop waits for it, towards callers and companions, until shortly before the kill. Connections that have been quiet since before the stop are closed at once, so that requests which arrive later remain unread. The idle timeout of a caller counts from the last response as well.

--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -63,8 +63,10 @@
     private static final int UNAVAILABLE = 503;
     /** Time in which callers detect that the process is not ready: two failed checks, one a second. */
     private static final long READINESS_NOTICE_MS = 2_300;
-    /** A graceful stop ends this long before the process is killed. */
+    /** Requests that are still open are answered this long before the process is killed. */
     private static final long KILL_MARGIN_MS = 500;
+    /** A graceful stop ends this long before the process is killed. What has not been delivered by then is lost. */
+    private static final long EXIT_MARGIN_MS = 150;
 
     /** Requests that arrive during a stop end this long before it: time for the responses of the backend servers. */
     private static final long LAST_RESPONSES_MS = 400;
@@ -88,6 +90,7 @@
     private final CallerServer heartbeatServer;
     private final CallerServer metricsServer;
     private boolean stopping;
+    private boolean stopTimedOut;
 
     public Companion(
             CompanionSettings settings,
@@ -188,6 +191,7 @@
             gate.endRequestsBy(lastDeadlineNs);
             control.stop();
             callerServer.stop();
+            peerServer.stop();
             loop.schedule(() -> refuseNewRequests(startNs), READINESS_NOTICE_MS, TimeUnit.MILLISECONDS);
         });
     }
@@ -211,38 +215,47 @@
         router.stop();
         gate.stop();
         callerServer.close();
-        callerServer.closeIdle();
         finishStop(startNs);
     }
 
+    /** Ends the process when all requests have their responses and the other ends of the connections have read them. */
     private void finishStop(long startNs) {
         long elapsedMs = (System.nanoTime() - startNs) / 1_000_000;
-        boolean idle = router.openRequests() == 0
-                && gate.inFlight() == 0
-                && peerServer.waitingWrites() == 0
-                && !callerServer.hasPendingWrites();
-        boolean timedOut = elapsedMs >= settings.graceMs() - KILL_MARGIN_MS;
-        if (!idle && !timedOut) {
+        if (elapsedMs >= settings.graceMs() - KILL_MARGIN_MS) {
+            endOpenRequests();
+        }
+        callerServer.closeIdle();
+        boolean completed = router.openRequests() == 0 && gate.inFlight() == 0 && peerServer.waitingWrites() == 0;
+        if (completed) {
+            peerServer.closeConnections();
+        }
+        boolean delivered = completed && !callerServer.isDelivering() && !peerServer.isDelivering();
+        if (!delivered && elapsedMs < settings.graceMs() - EXIT_MARGIN_MS) {
             loop.schedule(() -> finishStop(startNs), STOP_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
             return;
         }
-        if (!idle) {
-            EventLog.log(LogEvent.STOP_TIMED_OUT, "open", router.openRequests(), "in_flight", gate.inFlight());
-            router.endOpenRequests();
-        }
-        callerServer.closeIdle();
         EventLog.log(
                 LogEvent.STOPPED,
                 "after_ms",
                 elapsedMs,
+                "delivered",
+                delivered,
                 "caller_connections",
                 callerServer.openConnections(),
                 "caller_bytes",
                 callerServer.unwrittenBytes(),
                 "companion_bytes",
                 peerServer.unwrittenBytes());
-        // The responses that were just written need one more pass of the event loop.
-        loop.schedule(stopped::countDown, STOP_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        stopped.countDown();
+    }
+
+    private void endOpenRequests() {
+        if (stopTimedOut || router.openRequests() == 0 && gate.inFlight() == 0) {
+            return;
+        }
+        stopTimedOut = true;
+        EventLog.log(LogEvent.STOP_TIMED_OUT, "open", router.openRequests(), "in_flight", gate.inFlight());
+        router.endOpenRequests();
     }
 
     private void configureColdLimit(RouteTable routes) {
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -9,10 +9,10 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -29,6 +29,7 @@
 import org.siskintiller.core.retry.RetryAfter;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.LingeringClose;
 import org.siskintiller.router.request.Header;
 
 /** Connection of a caller. Requests are handled as they arrive; responses are written in the order of the requests. */
@@ -37,8 +38,6 @@
     private static final int MAX_PIPELINED = 32;
     /** Time until memory may be available: most requests end within it. */
     private static final double RETRY_AFTER_MS = 500;
-    /** Time for the caller to read the last response and close the connection: several round trips. */
-    private static final long LINGER_MS = 500;
 
     private final CallerServer server;
     private final Deque<Exchange> exchanges = new ArrayDeque<>();
@@ -52,7 +51,14 @@
     private int reservedBytes;
 
     private long arrivedNs;
+    /** Responses of which the socket has not taken all bytes yet, although they are complete. */
+    private int unwrittenResponses;
+
+    private long lastWrittenNs = System.nanoTime();
+    /** Whether no further request is accepted. */
     private boolean closing;
+    /** Whether the output is closed, or will be when the socket has taken what was written. */
+    private boolean lingering;
     /** Requests that arrived after the last one that is answered. Their caller sends them again on another connection. */
     private int ignoredRequests;
 
@@ -78,6 +84,11 @@
         return exchanges.isEmpty() && head == null;
     }
 
+    /** Whether the caller may not have received all of its responses yet. */
+    boolean isDelivering() {
+        return lingering || hasPendingWrites() || !exchanges.isEmpty();
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
@@ -123,11 +134,11 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (!(event instanceof IdleStateEvent)) {
+        if (!(event instanceof IdleStateEvent) || lingering) {
             return;
         }
         if (isIdle() && !hasPendingWrites()) {
-            context.close();
+            closeIfQuiet();
         } else if (head != null && channel.config().isAutoRead()) {
             // The memory for the body is reserved, so a caller that stops in the middle of it must not keep it.
             reject(HttpResponseStatus.REQUEST_TIMEOUT, "no bytes of the body within the idle timeout");
@@ -137,7 +148,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         EventLog.log(LogEvent.REQUEST_REJECTED, "cause", String.valueOf(cause.getMessage()));
-        close("the connection failed: " + cause.getMessage());
+        closeNow("the connection failed: " + cause.getMessage());
     }
 
     /** Removes the responses that are fully written and writes the next one. */
@@ -150,7 +161,7 @@
             }
         }
         if (closing && exchanges.isEmpty()) {
-            closeAfterResponse();
+            linger();
             return;
         }
         sendContinueInTurn();
@@ -165,6 +176,15 @@
         }
     }
 
+    /** Counts a complete response whose last bytes are written. */
+    void responseWritten(ChannelFuture written) {
+        unwrittenResponses++;
+        written.addListener(taken -> {
+            unwrittenResponses--;
+            lastWrittenNs = System.nanoTime();
+        });
+    }
+
     /** Counts bytes of a response that are buffered for the caller. */
     void buffered(int bytes) {
         if (bytes > 0 && channel.isActive()) {
@@ -189,13 +209,18 @@
         }
     }
 
+    /** Ends the connection because its present response cannot be completed. Complete ones before it are still delivered. */
     void abort() {
-        closing = true;
-        close("a response cannot be completed");
+        if (unwrittenResponses > 0) {
+            linger();
+            return;
+        }
+        closeNow("a response cannot be completed");
     }
 
     /** Closes the connection at once. What the socket has not taken yet is lost. */
-    private void close(String cause) {
+    void closeNow(String cause) {
+        closing = true;
         if (channel.isOpen() && (hasPendingWrites() || !exchanges.isEmpty())) {
             EventLog.log(
                     LogEvent.CALLER_CUT,
@@ -219,18 +244,34 @@
         }
     }
 
+    private void linger() {
+        closing = true;
+        if (!lingering) {
+            lingering = true;
+            LingeringClose.begin(channel, () -> closeNow("the caller has not closed in time"));
+        }
+    }
+
     /**
-     * Shuts down the output first and continues to read for a while: closing a socket with unread requests would reset
-     * the connection, and the caller could lose the response.
+     * Closes the connection of a process that stops unless a request is in progress. One that has carried a response during the
+     * stop may still be delivering it. On any other one nothing is under way, so that it can be closed at once: a
+     * request that arrives later remains unread, and its caller may send it again.
      */
-    private void closeAfterResponse() {
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> ((SocketChannel) channel).shutdownOutput());
-        channel.eventLoop()
-                .schedule(() -> close("the caller has not closed in time"), LINGER_MS, TimeUnit.MILLISECONDS);
+    void closeWhenIdle() {
+        if (!isIdle() || lingering) {
+            return;
+        }
+        if (hasPendingWrites() || lastWrittenNs - server.stoppingSinceNs() > 0) {
+            linger();
+        } else {
+            channel.close();
+        }
     }
 
-    void closeWhenIdle() {
-        if (isIdle() && !hasPendingWrites()) {
+    /** Closes a connection without a request, unless the caller may still be reading the last response. */
+    private void closeIfQuiet() {
+        long quietNs = System.nanoTime() - lastWrittenNs;
+        if (quietNs >= TimeUnit.MILLISECONDS.toNanos(server.idleTimeoutMs())) {
             channel.close();
         }
     }
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerResponse.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerResponse.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.ByteBufHolder;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.siskintiller.router.request.Header;
 import org.siskintiller.router.request.ResponseHead;
@@ -151,12 +153,15 @@
         }
         int bytes = bytes(message);
         boolean isPart = message instanceof DefaultHttpContent;
-        channel.writeAndFlush(message).addListener(result -> {
+        ChannelFuture future = channel.writeAndFlush(message).addListener(result -> {
             connection.taken(bytes);
             if (result.isSuccess() && isPart && bytes > 0) {
                 bodyWrittenListener.accept(bytes);
             }
         });
+        if (message instanceof LastHttpContent) {
+            connection.responseWritten(future);
+        }
     }
 
     private static int bytes(HttpObject message) {
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
@@ -39,6 +39,7 @@
     private final BufferMemory memory;
     private final Set<CallerConnection> connections = new HashSet<>();
     private boolean stopping;
+    private long stoppingSinceNs;
     private Channel serverChannel;
 
     public CallerServer(EventLoop loop, LoopLag lag, CallerHandler handler, Supplier<CallerLimits> limits) {
@@ -79,16 +80,17 @@
     /** Adds Connection: close to the last pending response of each connection. */
     public void stop() {
         stopping = true;
+        stoppingSinceNs = System.nanoTime();
     }
 
-    /** Closes the connections without a pending request. */
+    /** Begins to close the connections without a pending request. */
     public void closeIdle() {
         List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
     }
 
-    /** Whether a part of a response has not been handed to the network yet. */
-    public boolean hasPendingWrites() {
-        return connections.stream().anyMatch(CallerConnection::hasPendingWrites);
+    /** Whether a caller may not have received all of its responses yet. */
+    public boolean isDelivering() {
+        return connections.stream().anyMatch(CallerConnection::isDelivering);
     }
 
     /** Bytes of responses that have not been handed to the network yet. */
@@ -108,6 +110,15 @@
         return stopping;
     }
 
+    /** Time at which {@link #stop} was called. */
+    long stoppingSinceNs() {
+        return stoppingSinceNs;
+    }
+
+    long idleTimeoutMs() {
+        return limits.get().idleTimeoutMs();
+    }
+
     int maxBodyBytes() {
         return (int) Math.min(MAX_BODY_BYTES, limits.get().maxBodyBytes());
     }
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -28,6 +28,7 @@
 import org.siskintiller.core.path.RequestMemory;
 import org.siskintiller.node.EventLog;
 import org.siskintiller.node.LogEvent;
+import org.siskintiller.router.LingeringClose;
 import org.siskintiller.router.LoopLag;
 import org.siskintiller.router.Sockets;
 import org.siskintiller.router.backend.BackendGate;
@@ -63,6 +64,7 @@
     private final Set<Connection> connections = new HashSet<>();
     private final IntroductionCheck introductions;
     private long acceptedConnections;
+    private boolean stopping;
     private Channel server;
 
     public PeerServer(
@@ -114,6 +116,21 @@
         return pacer.waiting();
     }
 
+    /** Notes which connections carry responses from now on, since the process ends soon. */
+    public void stop() {
+        stopping = true;
+    }
+
+    /** Begins to close the connections that have carried responses during the stop. No request may be running. */
+    public void closeConnections() {
+        List.copyOf(connections).forEach(Connection::closeAfterResponses);
+    }
+
+    /** Whether a companion may not have received all responses yet. */
+    public boolean isDelivering() {
+        return connections.stream().anyMatch(connection -> connection.isLingering);
+    }
+
     /** Bytes of frames that have not been handed to the network yet. */
     public long unwrittenBytes() {
         return connections.stream()
@@ -146,6 +163,10 @@
         private PeerIdentity peer;
         /** Whether a later process of the instance is known. Only the requests that run go on. */
         private boolean isRetired;
+        /** Whether the connection has carried a response during the stop of the process. */
+        private boolean hasLateResponse;
+
+        private boolean isLingering;
 
         private Connection(FrameMeter meter) {
             this.meter = meter;
@@ -180,7 +201,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, Frame frame) {
-            if (!channel.isOpen()) {
+            if (!channel.isOpen() || isLingering) {
                 return;
             }
             if (peer == null) {
@@ -259,6 +280,18 @@
             }
         }
 
+        private void writeResponse(Frame frame) {
+            hasLateResponse = stopping;
+            channel.writeAndFlush(frame);
+        }
+
+        private void closeAfterResponses() {
+            if (hasLateResponse && !isLingering) {
+                isLingering = true;
+                LingeringClose.begin(channel, channel::close);
+            }
+        }
+
         /** Closes the connection unless requests of it run, whose responses it still carries. */
         private void retire() {
             isRetired = true;
@@ -497,7 +530,7 @@
 
         private void write(Frame frame) {
             if (isOpen()) {
-                connection.channel.writeAndFlush(frame);
+                connection.writeResponse(frame);
             }
         }
     }
--- a/router/src/test/java/org/siskintiller/router/ingress/CallerServerTest.java
+++ b/router/src/test/java/org/siskintiller/router/ingress/CallerServerTest.java
@@ -101,7 +101,7 @@
                     server.closeIdle();
                 });
                 Thread.sleep(SLOW_MS);
-                assertThat(server.hasPendingWrites()).isTrue();
+                assertThat(server.unwrittenBytes()).isGreaterThan(0L);
 
                 assertThat(socket.getInputStream().readNBytes(LARGE_BYTES)).hasLength(LARGE_BYTES);
             }
--- /dev/null
+++ b/router/src/test/java/org/siskintiller/router/ingress/DeliveryDuringStopTest.java
@@ -0,0 +1,212 @@
+package org.siskintiller.router.ingress;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.siskintiller.core.model.Address;
+import org.siskintiller.core.path.CallerLimits;
+import org.siskintiller.router.LoopLag;
+import org.siskintiller.router.SlowLink;
+import org.siskintiller.router.request.ResponseHead;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Responses of a process that stops, over a link that takes seconds for them. The path of a request is the size of its response. */
+class DeliveryDuringStopTest {
+    private static final int READ_TIMEOUT_MS = 10_000;
+    /** Time that the responses of one test take together on the link. */
+    private static final int TRANSFER_S = 2;
+    /** Time in which all requests have reached the process. Their responses are on the link then. */
+    private static final long ARRIVAL_MS = 200;
+
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) loops.next();
+    private final LoopLag lag = new LoopLag(loop, new MetricRegistry());
+    private final CallerServer server = new CallerServer(loop, lag, this::handle, () -> CallerLimits.INITIAL);
+
+    @BeforeEach
+    void bind() throws IOException {
+        server.bind(new Address("127.0.0.1", 0));
+    }
+
+    @AfterEach
+    void close() {
+        server.close();
+        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    @Nested
+    class OneCaller {
+        /** Guards against a connection that is closed while bytes of its last response wait for the link. */
+        @ParameterizedTest
+        @ValueSource(ints = {10_000, 100_000, 1_000_000, 8_000_000})
+        void receivesTheWholeResponse(int bytes) throws Exception {
+            try (SlowLink link = new SlowLink(server.port(), bytes / TRANSFER_S);
+                    Socket caller = connect(link)) {
+                stop();
+                request(caller, bytes);
+                closeIdle();
+
+                assertThat(readBody(caller, bytes)).isEqualTo(bytes);
+                assertThat(caller.getInputStream().read()).isEqualTo(-1);
+            }
+        }
+
+        /** Guards against a reset that discards a response, because a request behind it arrives after the close. */
+        @ParameterizedTest
+        @ValueSource(ints = {10_000, 100_000, 1_000_000, 8_000_000})
+        void receivesTheWholeResponseAheadOfAnotherRequest(int bytes) throws Exception {
+            try (SlowLink link = new SlowLink(server.port(), bytes / TRANSFER_S);
+                    Socket caller = connect(link)) {
+                stop();
+                request(caller, bytes);
+                closeIdle();
+                Thread.sleep(TRANSFER_S * 1_000 / 2);
+                request(caller, bytes);
+
+                assertThat(readBody(caller, bytes)).isEqualTo(bytes);
+            }
+        }
+
+        /** Guards against the loss of a complete response when the one behind it cannot be completed. */
+        @Test
+        void receivesTheResponseAheadOfACutOne() throws Exception {
+            int bytes = 8_000_000;
+            try (SlowLink link = new SlowLink(server.port(), bytes / TRANSFER_S);
+                    Socket caller = connect(link)) {
+                request(caller, bytes);
+                caller.getOutputStream()
+                        .write("GET /cut HTTP/1.1\r\nhost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+
+                assertThat(readBody(caller, bytes)).isEqualTo(bytes);
+            }
+        }
+    }
+
+    @Nested
+    class SeveralCallers {
+        /** Guards against responses that are cut because those of other callers fill the link. */
+        @Test
+        void receiveTheirWholeResponses() throws Exception {
+            int[] sizes = {10_000, 100_000, 540_000, 2_000_000, 6_000_000};
+            List<Socket> callers = new ArrayList<>();
+            try (SlowLink link = new SlowLink(server.port(), 8_650_000 / TRANSFER_S)) {
+                for (int size : sizes) {
+                    callers.add(connect(link));
+                    request(callers.get(callers.size() - 1), size);
+                }
+                stop();
+                closeIdle();
+                List<Thread> readers = new ArrayList<>();
+                int[] received = new int[sizes.length];
+                for (int i = 0; i < sizes.length; i++) {
+                    int index = i;
+                    Thread reader = new Thread(() -> received[index] = readBody(callers.get(index), sizes[index]));
+                    reader.start();
+                    readers.add(reader);
+                }
+                for (Thread reader : readers) {
+                    reader.join();
+                }
+
+                assertThat(received).isEqualTo(sizes);
+            }
+            for (Socket caller : callers) {
+                caller.close();
+            }
+        }
+    }
+
+    @Nested
+    class QuietConnection {
+        /** Guards against a stop that waits for callers which have had their responses long before. */
+        @Test
+        void isClosedAtOnce() throws Exception {
+            try (Socket caller = new Socket("127.0.0.1", server.port())) {
+                caller.setSoTimeout(READ_TIMEOUT_MS);
+                request(caller, 10);
+                assertThat(readBody(caller, 10)).isEqualTo(10);
+                stop();
+                closeIdle();
+
+                assertThat(loop.submit(server::openConnections).get()).isEqualTo(0);
+            }
+        }
+    }
+
+    private void stop() throws Exception {
+        loop.submit(server::stop).get();
+    }
+
+    /** Closes the connections without a request, as a companion does when its last requests have arrived. */
+    private void closeIdle() throws Exception {
+        Thread.sleep(ARRIVAL_MS);
+        loop.submit(server::closeIdle).get();
+    }
+
+    private Runnable handle(CallerRequest request, CallerResponse response) {
+        if (request.uri().equals("/cut")) {
+            response.start(new ResponseHead(200, List.of(), 1_000));
+            response.data(new byte[10], false);
+            response.abort();
+            return () -> {};
+        }
+        response.send(200, List.of(), new byte[Integer.parseInt(request.uri().substring(1))]);
+        return () -> {};
+    }
+
+    private static Socket connect(SlowLink link) throws IOException {
+        Socket socket = new Socket("127.0.0.1", link.port());
+        socket.setSoTimeout(READ_TIMEOUT_MS);
+        return socket;
+    }
+
+    private static void request(Socket caller, int bytes) throws IOException {
+        caller.getOutputStream()
+                .write(("GET /" + bytes + " HTTP/1.1\r\nhost: a\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Reads the head of a response and its body up to the given size. Returns the bytes of the body that arrived. */
+    private static int readBody(Socket caller, int bytes) {
+        int received = 0;
+        try {
+            String head = "";
+            while (!head.endsWith("\r\n\r\n")) {
+                int next = caller.getInputStream().read();
+                if (next < 0) {
+                    return received;
+                }
+                head += (char) next;
+            }
+            byte[] buffer = new byte[16_384];
+            while (received < bytes) {
+                int length = caller.getInputStream().read(buffer, 0, Math.min(buffer.length, bytes - received));
+                if (length < 0) {
+                    return received;
+                }
+                received += length;
+            }
+        } catch (SocketException e) {
+            // The connection was reset.
+            return received;
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+        return received;
+    }
+}
