Let responses that are under way arrive after the last deadline of a stop

Callers saw: downloads that were cut 5.3 s after the signal, or 0.15 s after the shortened deadline of the companion that held them, before their own deadlines.

Cause: a stop shortens the deadline of each request, so that its backend server ends its work before the kill. The same time also ended the transfer of responses that had begun, and a slow link takes seconds for them. At the end of the stop a response of which the caller had a part was cut, although nothing can replace it and the process still runs.

Change: the shortened deadline bounds the work and the start of the response. A response that has begun goes on until the deadline of its caller; at the gate for up to 0.75 s longer, since the companion of the caller cancels it sooner.

--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -42,6 +42,8 @@
     private static final long RECONNECT_DELAY_NS = 250_000_000L;
     /** At the deadline the backend server itself sends a response, which may take this long to arrive. */
     private static final long RESPONSE_MARGIN_NS = 150_000_000L;
+    /** Time from the deadline until the rest of a response is dropped that is being received. Its caller cancels it sooner. */
+    private static final long TRANSFER_MARGIN_NS = 750_000_000L;
 
     private static final int FIRST_SERVER_ERROR = 500;
 
@@ -408,8 +410,16 @@
         call.markRunning(connection, nowNs);
         connection.send(call, nowNs);
         cold.sent(nowNs);
-        long remainingNs = call.request().deadlineNs() - nowNs + RESPONSE_MARGIN_NS;
-        loop.schedule(() -> timedOut(call), remainingNs, TimeUnit.NANOSECONDS);
+        long remainingNs = call.request().deadlineNs() - nowNs;
+        loop.schedule(() -> responseDue(call), remainingNs + RESPONSE_MARGIN_NS, TimeUnit.NANOSECONDS);
+    }
+
+    private void responseDue(GateCall call) {
+        if (call.state() == GateCall.State.RUNNING && call.hasStarted()) {
+            loop.schedule(() -> timedOut(call), TRANSFER_MARGIN_NS - RESPONSE_MARGIN_NS, TimeUnit.NANOSECONDS);
+            return;
+        }
+        timedOut(call);
     }
 
     private void timedOut(GateCall call) {
--- a/router/src/main/java/org/siskintiller/router/backend/GateCall.java
+++ b/router/src/main/java/org/siskintiller/router/backend/GateCall.java
@@ -184,6 +184,11 @@
         return freeSlots;
     }
 
+    /** Whether the backend server has begun its response. */
+    boolean hasStarted() {
+        return status != 0;
+    }
+
     int status() {
         return status;
     }
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerResponse.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerResponse.java
@@ -115,6 +115,11 @@
         connection.abort();
     }
 
+    /** Whether the caller may have received a part of the response. */
+    public boolean isBegun() {
+        return written;
+    }
+
     boolean isFullyWritten() {
         return complete && queuedMessages.isEmpty();
     }
--- a/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
@@ -289,14 +289,9 @@
             retryBudget(service).requested(arrivedNs);
         }
         long lastResponseNs = Math.min(requestedDeadlineNs, deadlineNs + LAST_RESPONSE_NS);
-        return new RequestTask(
-                this,
-                route,
-                forwarded,
-                response,
-                arrivedNs,
-                lastResponseNs,
-                arrivedNs + TimeUnit.MILLISECONDS.toNanos(deadlineMs));
+        long callerDeadlineNs = arrivedNs + TimeUnit.MILLISECONDS.toNanos(deadlineMs);
+        RequestTimes times = new RequestTimes(arrivedNs, lastResponseNs, requestedDeadlineNs, callerDeadlineNs);
+        return new RequestTask(this, route, forwarded, response, times);
     }
 
     /** An internal call has the id of the request that the backend server runs, a dot and an id of its own. */
--- a/router/src/main/java/org/siskintiller/router/request/RequestTask.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTask.java
@@ -39,9 +39,8 @@
     private final Route route;
     private final ForwardedRequest request;
     private final CallerResponse response;
-    private final long arrivedNs;
-    private final long callerDeadlineNs;
-    private final ScheduledFuture<?> deadlineTimer;
+    private final RequestTimes times;
+    private ScheduledFuture<?> deadlineTimer;
     private final Set<String> excludedInstances = new HashSet<>();
     private final ResponseBuffer buffer;
     /** Bytes for which credit was given when they were buffered, before they were written to the caller. */
@@ -64,23 +63,14 @@
     private String lastCause = "";
 
     RequestTask(
-            RequestRouter router,
-            Route route,
-            ForwardedRequest request,
-            CallerResponse response,
-            long arrivedNs,
-            long lastResponseNs,
-            long callerDeadlineNs) {
+            RequestRouter router, Route route, ForwardedRequest request, CallerResponse response, RequestTimes times) {
         this.router = router;
         this.route = route;
         this.request = request;
         this.response = response;
-        this.arrivedNs = arrivedNs;
-        this.callerDeadlineNs = callerDeadlineNs;
+        this.times = times;
         this.buffer = new ResponseBuffer(router.responseBuffers());
-        long remainingNs = lastResponseNs - System.nanoTime();
-        this.deadlineTimer =
-                router.loop().schedule(this::deadlinePassed, Math.max(0, remainingNs), TimeUnit.NANOSECONDS);
+        this.deadlineTimer = schedule(this::lastResponseDue, times.lastResponseNs());
         response.onWritten(this::bodyWritten);
     }
 
@@ -316,7 +306,7 @@
     }
 
     private double remainingMs() {
-        return (callerDeadlineNs - System.nanoTime()) / 1e6;
+        return (times.callerDeadlineNs() - System.nanoTime()) / 1e6;
     }
 
     private void refuseFor(long waitMs) {
@@ -367,13 +357,38 @@
                 router.routesVersion());
     }
 
+    /**
+     * Ends the request, unless its response is on the way. A stop shortens the time of the backend server for the request, not that
+     * of the network for the response.
+     */
+    private void lastResponseDue() {
+        if (isReceiving() && times.deadlineNs() > System.nanoTime()) {
+            deadlineTimer = schedule(this::deadlinePassed, times.deadlineNs());
+            return;
+        }
+        deadlinePassed();
+    }
+
     private void deadlinePassed() {
         endNow("deadline passed");
     }
 
-    /** Responds at once: with a closed connection the caller would not know that nothing follows. */
+    /**
+     * Responds at once: with a closed connection the caller would not know that nothing follows. A response of which the caller has a
+     * part goes on until the process ends, as it cannot be replaced.
+     */
     void processEnds() {
-        endNow("the process ends");
+        if (!isReceiving() || !streaming || !response.isBegun()) {
+            endNow("the process ends");
+        }
+    }
+
+    private boolean isReceiving() {
+        return head != null && currentAttempt != null && !currentAttempt.finished;
+    }
+
+    private ScheduledFuture<?> schedule(Runnable action, long timeNs) {
+        return router.loop().schedule(action, Math.max(0, timeNs - System.nanoTime()), TimeUnit.NANOSECONDS);
     }
 
     private void endNow(String cause) {
@@ -412,11 +427,11 @@
         ended = true;
         buffer.release();
         deadlineTimer.cancel(false);
-        router.taskEnded(this, success, System.nanoTime() - arrivedNs);
+        router.taskEnded(this, success, System.nanoTime() - times.arrivedNs());
     }
 
     private long elapsedMs() {
-        return (System.nanoTime() - arrivedNs) / 1_000_000;
+        return (System.nanoTime() - times.arrivedNs()) / 1_000_000;
     }
 
     private record WholeResponse(ResponseHead head, List<byte[]> data, String instance) {}
--- /dev/null
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTimes.java
@@ -0,0 +1,17 @@
+package org.siskintiller.router.request;
+
+/**
+ * Times of a request in ns of the monotonic clock.
+ *
+ * @param arrivedNs arrival of the request
+ * @param lastResponseNs latest start of a response. While the process stops it is earlier than the deadline.
+ * @param deadlineNs end of the time that the caller and the route allow
+ * @param callerDeadlineNs end of the time that the caller waits
+ */
+record RequestTimes(long arrivedNs, long lastResponseNs, long deadlineNs, long callerDeadlineNs) {
+    RequestTimes {
+        if (lastResponseNs > deadlineNs || deadlineNs > callerDeadlineNs) {
+            throw new IllegalArgumentException("deadlines of a request out of order");
+        }
+    }
+}
--- a/router/src/test/java/org/siskintiller/router/backend/BackendGateTest.java
+++ b/router/src/test/java/org/siskintiller/router/backend/BackendGateTest.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
@@ -36,6 +37,7 @@
 class BackendGateTest {
     private static final long STALL_MS = 400;
     private static final long SETTLE_MS = 300;
+    private static final long DEADLINE_MS = 400;
 
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) loops.next();
@@ -78,6 +80,36 @@
         assertThat(server.requests()).isEqualTo(1);
     }
 
+    /** Guards against a response that is cut at the deadline although its backend server has sent most of it. */
+    @Test
+    void receivesTheRestOfAResponseAfterTheDeadline() throws Exception {
+        server = new ScriptedServer((response, number) -> {
+            response.write("HTTP/1.1 200 OK\r\nid: slow\r\ncontent-length: 8\r\n\r\npart");
+            ScriptedServer.Response.pause(DEADLINE_MS + SETTLE_MS);
+            response.write("rest");
+        });
+        BackendGate gate = gate();
+        CompletableFuture<String> end = new CompletableFuture<>();
+        loop.submit(() -> gate.send(request("slow", DEADLINE_MS), new EndListener(end)))
+                .get();
+
+        assertThat(end.get(5, TimeUnit.SECONDS)).isEqualTo("complete");
+    }
+
+    /** Guards against a backend server that keeps a slot by never ending its response. */
+    @Test
+    void dropsAResponseThatDoesNotEnd() throws Exception {
+        server = new ScriptedServer(
+                (response, number) -> response.write("HTTP/1.1 200 OK\r\nid: slow\r\ncontent-length: 8\r\n\r\npart"));
+        BackendGate gate = gate();
+        CompletableFuture<String> end = new CompletableFuture<>();
+        loop.submit(() -> gate.send(request("slow", DEADLINE_MS), new EndListener(end)))
+                .get();
+
+        assertThat(end.get(5, TimeUnit.SECONDS)).isEqualTo("failed");
+        assertThat(loop.submit(gate::inFlight).get()).isEqualTo(0);
+    }
+
     private BackendGate gate() throws Exception {
         return OpenGate.create(loop, lag, server.address());
     }
@@ -103,7 +135,11 @@
     }
 
     private static ForwardedRequest request(String id) {
-        long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        return request(id, 5_000);
+    }
+
+    private static ForwardedRequest request(String id, long deadlineMs) {
+        long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(deadlineMs);
         return new ForwardedRequest(
                 id,
                 "service",
@@ -133,4 +169,27 @@
         @Override
         public void failed(SendFailure failure) {}
     }
+
+    /** Tells how a request ended. */
+    private record EndListener(CompletableFuture<String> end) implements ResponseListener {
+        @Override
+        public void started(ResponseHead head) {}
+
+        @Override
+        public void data(byte[] data, boolean last) {
+            if (last) {
+                end.complete("complete");
+            }
+        }
+
+        @Override
+        public void refused(Refusal refusal) {
+            end.complete("refused");
+        }
+
+        @Override
+        public void failed(SendFailure failure) {
+            end.complete("failed");
+        }
+    }
 }
--- a/router/src/test/java/org/siskintiller/router/request/PipelinedRequestsTest.java
+++ b/router/src/test/java/org/siskintiller/router/request/PipelinedRequestsTest.java
@@ -185,6 +185,60 @@
         }
     }
 
+    /** The time of a stop ends while the response is on its way. */
+    @Nested
+    class UnderWayDuringStop {
+        /** Guards against a response that is cut at the time by which a stop ends the work of backend servers. */
+        @Test
+        void isDeliveredUntilTheDeadlineOfTheCaller() throws Exception {
+            stopWorkSoon();
+            send("/once/1");
+            Attempt first = nextAttempt("/once/1");
+            first.begin();
+            Thread.sleep(ROUTE_TIMEOUT_MS / 2);
+            first.end();
+
+            assertThat(readResponse()).hasLength("200 ".length() + PART.length);
+        }
+
+        /** Guards against a response that goes on after the deadline of its caller. */
+        @Test
+        void endsAtTheDeadlineOfTheCaller() throws Exception {
+            stopWorkSoon();
+            send("/once/1");
+            nextAttempt("/once/1").begin();
+
+            assertThat(readAll()).startsWith("HTTP/1.1 200");
+        }
+
+        /** Guards against a response that is cut when the process answers the requests which are still open. */
+        @Test
+        void goesOnWhenOtherRequestsAreAnswered() throws Exception {
+            send("/once/1");
+            Attempt first = nextAttempt("/once/1");
+            first.begin();
+            loop.submit(router::endOpenRequests).get();
+            first.end();
+
+            assertThat(readResponse()).hasLength("200 ".length() + PART.length);
+        }
+
+        /** Guards against a request without an answer at the end of the process. */
+        @Test
+        void isAnsweredIfNothingHasArrived() throws Exception {
+            send("/once/1");
+            nextAttempt("/once/1");
+            loop.submit(router::endOpenRequests).get();
+
+            assertThat(readResponse()).isEqualTo("504 ");
+        }
+
+        private void stopWorkSoon() throws Exception {
+            long stopNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ROUTE_TIMEOUT_MS / 6);
+            loop.submit(() -> router.endRequestsBy(stopNs)).get();
+        }
+    }
+
     private static Route route(String name, String prefix, int maxAttempts) {
         return new Route(
                 name,
