End the requests behind a cut response at once

Cause: since a connection with a cut response lingers, the requests behind the response stayed open until the connection had closed, up to 10 s. Backend servers went on with them, they were sent again after rejections, and a request that had been read but not started could still be passed on, although no response could be written. The memory of their bodies stayed reserved as well.

Change: a connection that begins to linger ends its requests as a closed one does.

Result: DeliveryDuringStopTest.CutResponse.endsTheRequestsBehindItAtOnce failed before (the request behind was not ended while the response ahead was delivered); it passes.

--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -102,16 +102,7 @@
         if (ignoredRequests > 0) {
             EventLog.log(LogEvent.REQUESTS_NOT_READ, "requests", ignoredRequests);
         }
-        head = null;
-        releaseBody();
-        List<Exchange> open = List.copyOf(exchanges);
-        exchanges.clear();
-        for (Exchange exchange : open) {
-            releaseMemory(exchange);
-            if (exchange.response.isUnfinished() || !exchange.response.isFullyWritten()) {
-                exchange.onDisconnect.run();
-            }
-        }
+        endRequests();
     }
 
     @Override
@@ -245,10 +236,26 @@
         closing = true;
         if (!lingering) {
             lingering = true;
+            endRequests();
             LingeringClose.begin(channel, () -> closeNow("the caller has not closed in time"));
         }
     }
 
+    /** Ends the requests whose responses can no longer be written, and the one that is being read. */
+    private void endRequests() {
+        head = null;
+        awaitsContinue = false;
+        releaseBody();
+        List<Exchange> open = List.copyOf(exchanges);
+        exchanges.clear();
+        for (Exchange exchange : open) {
+            releaseMemory(exchange);
+            if (exchange.response.isUnfinished() || !exchange.response.isFullyWritten()) {
+                exchange.onDisconnect.run();
+            }
+        }
+    }
+
     /**
      * Closes the connection of a process that stops unless a request is in progress. One that has carried a response during the
      * stop may still be delivering it. On any other one nothing is under way, so that it can be closed at once: a
--- a/router/src/test/java/org/siskintiller/router/ingress/DeliveryDuringStopTest.java
+++ b/router/src/test/java/org/siskintiller/router/ingress/DeliveryDuringStopTest.java
@@ -38,6 +38,11 @@
     private final EventLoop loop = (EventLoop) loops.next();
     private final LoopLag lag = new LoopLag(loop, new MetricRegistry());
     private final CallerServer server = new CallerServer(loop, lag, this::handle, () -> CallerLimits.INITIAL);
+    /** Paths of the requests that were ended without a response. */
+    private final List<String> ended = new ArrayList<>();
+    /** Response to the request for "/later". */
+    private CallerResponse later;
+
     @BeforeEach
     void bind() throws IOException {
         server.bind(new Address("127.0.0.1", 0));
@@ -113,6 +118,23 @@
                 assertThat(readBody(caller, bytes)).isEqualTo(bytes);
             }
         }
+
+        /** Guards against requests that are worked on, and sent again, although their responses cannot be written. */
+        @Test
+        void endsTheRequestsBehindItAtOnce() throws Exception {
+            int bytes = 8_000_000;
+            try (SlowLink link = new SlowLink(server.port(), bytes / TRANSFER_S);
+                    Socket caller = connect(link)) {
+                request(caller, bytes);
+                get(caller, "/later");
+                get(caller, "/open");
+                Thread.sleep(ARRIVAL_MS);
+                loop.submit(() -> cut(later)).get();
+
+                assertThat(loop.submit(() -> ended).get()).containsExactly("/open");
+                assertThat(readBody(caller, bytes)).isEqualTo(bytes);
+            }
+        }
     }
 
     @Nested
@@ -179,11 +201,15 @@
     private Runnable handle(CallerRequest request, CallerResponse response) {
         switch (request.uri()) {
             case "/cut" -> cut(response);
+            case "/later" -> {
+                later = response;
+            }
+            case "/open" -> {}
             default ->
                 response.send(
                         200, List.of(), new byte[Integer.parseInt(request.uri().substring(1))]);
         }
-        return () -> {};
+        return () -> ended.add(request.uri());
     }
 
     private static void cut(CallerResponse response) {
