Announce the end of the connection in rejections

Cause: 400, 408, 413, 431 and 503 of the connection itself closed it without saying so. What arrives behind them is read and dropped, so a caller that keeps the connection could send a request that gets no answer, and could not tell that requests which it had sent behind were not read.

Change: these responses have Connection: close.

Result: CallerServerTest.Limiting.announcesTheEndOfTheConnection: 3 of 3 cases (malformed header, body too large, two lengths) failed before; all pass. 19 bytes more for each of these responses.

--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -1,6 +1,7 @@
 package org.siskintiller.router.ingress;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -417,7 +418,10 @@
         reject(HttpResponseStatus.BAD_REQUEST, detail);
     }
 
-    /** Sends an error response after the responses to earlier requests, then closes the connection. */
+    /**
+     * Sends an error response after the responses to earlier requests, then closes the connection. The response says so, because
+     * what the caller sends behind it is not read.
+     */
     private void reject(HttpResponseStatus status, String detail) {
         reject(status, detail, List.of());
     }
@@ -428,7 +432,9 @@
         awaitsContinue = false;
         releaseBody();
         closing = true;
-        addExchange(false).response.send(status.code(), headers, new byte[0]);
+        List<Header> closingHeaders = new ArrayList<>(headers);
+        closingHeaders.add(new Header("Connection", "close"));
+        addExchange(false).response.send(status.code(), closingHeaders, new byte[0]);
     }
 
     private Exchange addExchange(boolean headRequest) {
--- a/router/src/test/java/org/siskintiller/router/ingress/CallerServerTest.java
+++ b/router/src/test/java/org/siskintiller/router/ingress/CallerServerTest.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -164,6 +165,16 @@
             }
         }
 
+        /** Guards against callers that send a further request on a connection on which nothing is answered any more. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {"bad header", "content-length: 20000", "content-length: 4\r\ntransfer-encoding: chunked"})
+        void announcesTheEndOfTheConnection(String header) throws IOException {
+            try (Socket socket = send("POST /fast HTTP/1.1\r\nhost: a\r\n" + header + "\r\n\r\n")) {
+                assertThat(readAll(socket).toLowerCase(Locale.ROOT)).contains("\r\nconnection: close\r\n");
+            }
+        }
+
         /** Guards against request smuggling: a request hidden in the body of another one. */
         @Test
         void refusesTwoLengths() throws IOException {
