Refuse requests whose bodies are under way when a companion ends

Cause: a request whose body is still being received counts neither as running nor as queued. A stop could begin to close its connection, or end the process, while the body was under way. Its sender got no answer, and if it had sent the whole body, it had to take the request for one that may have run.

Change: these requests are refused before the connections are closed, which lets their senders send them elsewhere.

Result: PeerServerTest.Stop.refusesARequestWhoseBodyIsUnderWay failed before: the only answer was EXPIRED at the deadline of the body, after which a process that stops has mostly ended.

--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -286,6 +286,7 @@
         }
 
         private void closeAfterResponses() {
+            refuseIncomplete(RefusalReason.LEAVING);
             if (hasLateResponse) {
                 linger();
             }
@@ -298,13 +299,18 @@
             }
         }
 
-        /** Closes the connection unless requests of it run, whose responses it still carries. */
-        private void retire() {
-            isRetired = true;
+        /** Refuses the requests whose bodies are being received. */
+        private void refuseIncomplete(RefusalReason reason) {
             List<Stream> incomplete = streams.values().stream()
                     .filter(stream -> stream.body != null)
                     .toList();
-            incomplete.forEach(stream -> stream.refused(new Refusal(RefusalReason.UNREACHABLE, 0, false)));
+            incomplete.forEach(stream -> stream.refused(new Refusal(reason, 0, false)));
+        }
+
+        /** Closes the connection unless requests of it run, whose responses it still carries. */
+        private void retire() {
+            isRetired = true;
+            refuseIncomplete(RefusalReason.UNREACHABLE);
             if (streams.isEmpty()) {
                 linger();
             }
--- a/router/src/test/java/org/siskintiller/router/peer/PeerServerTest.java
+++ b/router/src/test/java/org/siskintiller/router/peer/PeerServerTest.java
@@ -203,6 +203,25 @@
         }
     }
 
+    @Nested
+    class Stop {
+        /** Guards against a request that was surely not run, but gets no answer, because the process ends before its body arrives. */
+        @Test
+        void refusesARequestWhoseBodyIsUnderWay() throws Exception {
+            Link link = connect();
+            link.write(FIRST.introductionTo(SELF.process()));
+            link.request("r1", "service", LARGE_BODY_BYTES);
+            link.next(Frame.KindCase.CREDIT);
+            loop.submit(server::stop).get();
+            loop.submit(server::closeConnections).get();
+
+            CompanionProto.Refusal refusal = link.next(Frame.KindCase.REFUSAL).getRefusal();
+            assertThat(RefusalReason.of(refusal.getReason())).isEqualTo(RefusalReason.LEAVING);
+            link.assertClosed();
+            assertThat(run).isEmpty();
+        }
+    }
+
     @Nested
     class AnotherService {
         /** Guards against a request that runs at another service, whose machine has the name of the holder. */
