List a response that the project's own front loses at a stop

Cause: at the end of a planned stop, node's CallerServer closes the connections of callers through the JDK's server, which can't close the output alone. A request that arrives afterwards resets the connection, and a response that is still under way to a slow caller is discarded.

Change: CallerServerTest.Delivery has a test for the close (passes) and one for the close with a later request (fails).

--- a/node/src/test/java/org/siskintiller/node/http/CallerServerTest.java
+++ b/node/src/test/java/org/siskintiller/node/http/CallerServerTest.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.siskintiller.config.CompanionSettings.Limits;
@@ -103,6 +105,48 @@
         return text.toString();
     }
 
+    /** Response that is on its way to a slow caller when the server is closed at the end of a planned stop. */
+    @Nested
+    class Delivery {
+        private static final int BODY_BYTES = 90_000;
+        private static final String REQUEST =
+                "POST /s/x HTTP/1.1\r\nHost: h\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n" + "x".repeat(BODY_BYTES);
+
+        /** Guards against a close that discards what the caller has not read. */
+        @Test
+        void survivesTheClose() throws Exception {
+            assertDeliveredAfterTheClose("");
+        }
+
+        /** Guards against a reset that discards the response, because a request arrives after the close. */
+        @Test
+        @Tag("known-red")
+        void survivesARequestThatArrivesAfterTheClose() throws Exception {
+            assertDeliveredAfterTheClose(REQUEST);
+        }
+
+        private void assertDeliveredAfterTheClose(String laterBytes) throws Exception {
+            try (Socket socket = new Socket()) {
+                socket.setReceiveBufferSize(4_096);
+                socket.connect(new InetSocketAddress(
+                        server.address().host(), server.address().port()));
+                socket.setSoTimeout(10_000);
+                socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.ISO_8859_1));
+                while (served.isEmpty() || server.running() > 0) {
+                    Thread.sleep(1);
+                }
+                server.close();
+                socket.getOutputStream().write(laterBytes.getBytes(StandardCharsets.ISO_8859_1));
+                // The reset, if there is one, has arrived by then.
+                Thread.sleep(100);
+
+                String received = read(socket.getInputStream());
+                int bodyStart = received.indexOf("\r\n\r\n") + 4;
+                assertThat(received.length() - bodyStart).isEqualTo(BODY_BYTES);
+            }
+        }
+    }
+
     /** Guards against request smuggling: bytes after an ambiguous request that are served as another request. */
     @Nested
     class Smuggling {
