--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -1,6 +1,7 @@
 package org.siskintiller.router.ingress;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -51,8 +52,8 @@
     private int reservedBytes;
 
     private long arrivedNs;
-    /** Responses of which the socket has not taken all bytes yet, although they are complete. */
-    private int unwrittenResponses;
+    /** Whether a complete response has been written, which the caller may not have received yet. */
+    private boolean hasResponded;
 
     private long lastWrittenNs = System.nanoTime();
     /** Whether no further request is accepted. */
@@ -102,16 +103,7 @@
         if (ignoredRequests > 0) {
             EventLog.log(LogEvent.REQUESTS_NOT_READ, "requests", ignoredRequests);
         }
-        head = null;
-        releaseBody();
-        List<Exchange> open = List.copyOf(exchanges);
-        exchanges.clear();
-        for (Exchange exchange : open) {
-            releaseMemory(exchange);
-            if (exchange.response.isUnfinished() || !exchange.response.isFullyWritten()) {
-                exchange.onDisconnect.run();
-            }
-        }
+        endRequests();
     }
 
     @Override
@@ -178,11 +170,8 @@
 
     /** Counts a complete response whose last bytes are written. */
     void responseWritten(ChannelFuture written) {
-        unwrittenResponses++;
-        written.addListener(taken -> {
-            unwrittenResponses--;
-            lastWrittenNs = System.nanoTime();
-        });
+        hasResponded = true;
+        written.addListener(taken -> lastWrittenNs = System.nanoTime());
     }
 
     /** Counts bytes of a response that are buffered for the caller. */
@@ -211,7 +200,7 @@
 
     /** Ends the connection because its present response cannot be completed. Complete ones before it are still delivered. */
     void abort() {
-        if (unwrittenResponses > 0) {
+        if (hasResponded) {
             linger();
             return;
         }
@@ -248,10 +237,26 @@
         closing = true;
         if (!lingering) {
             lingering = true;
+            endRequests();
             LingeringClose.begin(channel, () -> closeNow("the caller has not closed in time"));
         }
     }
 
+    /** Ends the requests whose responses can no longer be written, and the one that is being read. */
+    private void endRequests() {
+        head = null;
+        awaitsContinue = false;
+        releaseBody();
+        List<Exchange> open = List.copyOf(exchanges);
+        exchanges.clear();
+        for (Exchange exchange : open) {
+            releaseMemory(exchange);
+            if (exchange.response.isUnfinished() || !exchange.response.isFullyWritten()) {
+                exchange.onDisconnect.run();
+            }
+        }
+    }
+
     /**
      * Closes the connection of a process that stops unless a request is in progress. One that has carried a response during the
      * stop may still be delivering it. On any other one nothing is under way, so that it can be closed at once: a
@@ -413,7 +418,10 @@
         reject(HttpResponseStatus.BAD_REQUEST, detail);
     }
 
-    /** Sends an error response after the responses to earlier requests, then closes the connection. */
+    /**
+     * Sends an error response after the responses to earlier requests, then closes the connection. The response says so, because
+     * what the caller sends behind it is not read.
+     */
     private void reject(HttpResponseStatus status, String detail) {
         reject(status, detail, List.of());
     }
@@ -424,7 +432,9 @@
         awaitsContinue = false;
         releaseBody();
         closing = true;
-        addExchange(false).response.send(status.code(), headers, new byte[0]);
+        List<Header> closingHeaders = new ArrayList<>(headers);
+        closingHeaders.add(new Header("Connection", "close"));
+        addExchange(false).response.send(status.code(), closingHeaders, new byte[0]);
     }
 
     private Exchange addExchange(boolean headRequest) {
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -286,21 +286,33 @@
         }
 
         private void closeAfterResponses() {
-            if (hasLateResponse && !isLingering) {
+            refuseIncomplete(RefusalReason.LEAVING);
+            if (hasLateResponse) {
+                linger();
+            }
+        }
+
+        private void linger() {
+            if (!isLingering) {
                 isLingering = true;
                 LingeringClose.begin(channel, channel::close);
             }
         }
 
-        /** Closes the connection unless requests of it run, whose responses it still carries. */
-        private void retire() {
-            isRetired = true;
+        /** Refuses the requests whose bodies are being received. */
+        private void refuseIncomplete(RefusalReason reason) {
             List<Stream> incomplete = streams.values().stream()
                     .filter(stream -> stream.body != null)
                     .toList();
-            incomplete.forEach(stream -> stream.refused(new Refusal(RefusalReason.UNREACHABLE, 0, false)));
+            incomplete.forEach(stream -> stream.refused(new Refusal(reason, 0, false)));
+        }
+
+        /** Closes the connection unless requests of it run, whose responses it still carries. */
+        private void retire() {
+            isRetired = true;
+            refuseIncomplete(RefusalReason.UNREACHABLE);
             if (streams.isEmpty()) {
-                channel.close();
+                linger();
             }
         }
 
