Keep requests from being discarded where no end of the connection was announced

Callers saw, in a review of: a stop held until the kill by a connection without any request; requests that were read and dropped on connections without Connection: close; a request with an excessive deadline that got no answer; connections that stayed idle for twice the idle timeout.

Cause: the time at which a connection was accepted counted as the time of a response, so that unused connections lingered. A response that was begun before the stop did not announce the end and left its connection open until input was discarded. RequestTimes refused times that had overflowed. The idle timeout was checked once in each timeout.

Change: a connection of a stopping process ends right behind its last response. One that has carried none since is closed at once, with what arrives unread. The rest of the idle timeout is scheduled. Lingering connections are always read.

DeliveryDuringStopTest waits for the arrival of requests in place of 200 ms.

--- a/node/src/main/java/org/siskintiller/node/LogEvent.java
+++ b/node/src/main/java/org/siskintiller/node/LogEvent.java
@@ -53,10 +53,10 @@
             Level.WARN,
             "connection of a caller closed by this process before all responses had left",
             "see the cause in the log line; on a slow link, look for what fills it"),
-    REQUESTS_NOT_READ(
+    REQUESTS_DISCARDED(
             1109,
             Level.INFO,
-            "requests arrived behind the last response of a connection and were not handled",
+            "requests arrived behind the last response of a connection and were discarded",
             "none; their callers send them again"),
 
     SESSION_OPENED(1201, Level.INFO, "session opened", "none"),
--- a/router/src/main/java/org/siskintiller/router/ingress/BufferMemory.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/BufferMemory.java
@@ -93,7 +93,7 @@
         for (CallerConnection connection : unread.overdue(System.nanoTime())) {
             closed.inc();
             EventLog.log(LogEvent.SLOW_READER_CLOSED, "unread_response_bytes", unread.totalBytes());
-            connection.closeNow("memory for responses is short");
+            connection.cut("memory for responses is short");
         }
         scheduleCheck();
     }
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -61,7 +61,7 @@
     /** Whether the output is closed, or will be when the socket has taken what was written. */
     private boolean lingering;
     /** Requests that arrived after the last one that is answered. Their caller sends them again on another connection. */
-    private int ignoredRequests;
+    private int discardedRequests;
 
     CallerConnection(CallerServer server) {
         this.server = server;
@@ -100,8 +100,8 @@
     public void channelInactive(ChannelHandlerContext context) {
         server.connectionClosed(this);
         server.memory().removed(this);
-        if (ignoredRequests > 0) {
-            EventLog.log(LogEvent.REQUESTS_NOT_READ, "requests", ignoredRequests);
+        if (discardedRequests > 0) {
+            EventLog.log(LogEvent.REQUESTS_DISCARDED, "requests", discardedRequests);
         }
         endRequests();
     }
@@ -110,7 +110,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (closing) {
-                ignoredRequests += message instanceof HttpRequest ? 1 : 0;
+                discardedRequests += message instanceof HttpRequest ? 1 : 0;
                 return;
             }
             if (message instanceof HttpRequest request) {
@@ -140,11 +140,12 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         EventLog.log(LogEvent.REQUEST_REJECTED, "cause", String.valueOf(cause.getMessage()));
-        closeNow("the connection failed: " + cause.getMessage());
+        context.close();
     }
 
     /** Removes the responses that are fully written and writes the next one. */
     void writeNextResponse() {
+        boolean hadRequests = !exchanges.isEmpty();
         while (!exchanges.isEmpty() && exchanges.peekFirst().response.isFullyWritten()) {
             releaseMemory(exchanges.pollFirst());
             Exchange next = exchanges.peekFirst();
@@ -152,7 +153,10 @@
                 next.response.becomeFirst(channel);
             }
         }
-        if (closing && exchanges.isEmpty()) {
+        // The head of a response may have been written before the process began to stop, without an announcement of the
+        // end.
+        boolean isLast = closing || hadRequests && head == null && server.isStopping();
+        if (isLast && exchanges.isEmpty()) {
             linger();
             return;
         }
@@ -192,6 +196,9 @@
 
     /** Reads further requests unless too many are in progress or the caller does not read its responses. */
     private void updateReading() {
+        if (lingering) {
+            return;
+        }
         boolean reads = exchanges.size() < MAX_PIPELINED && !server.memory().pauses(this);
         if (channel.config().isAutoRead() != reads) {
             channel.config().setAutoRead(reads);
@@ -204,24 +211,22 @@
             linger();
             return;
         }
-        closeNow("a response cannot be completed");
+        cut("a response cannot be completed");
     }
 
-    /** Closes the connection at once. What the socket has not taken yet is lost. */
-    void closeNow(String cause) {
+    /** Closes the connection at once. What has not arrived yet may be lost. */
+    void cut(String cause) {
         closing = true;
-        if (channel.isOpen() && (hasPendingWrites() || !exchanges.isEmpty())) {
-            EventLog.log(
-                    LogEvent.CALLER_CUT,
-                    "cause",
-                    cause,
-                    "unwritten_bytes",
-                    unwrittenBytes(),
-                    "open",
-                    exchanges.size(),
-                    "stopping",
-                    server.isStopping());
-        }
+        EventLog.log(
+                LogEvent.CALLER_CUT,
+                "cause",
+                cause,
+                "unwritten_bytes",
+                unwrittenBytes(),
+                "open",
+                exchanges.size(),
+                "stopping",
+                server.isStopping());
         channel.close();
     }
 
@@ -238,7 +243,7 @@
         if (!lingering) {
             lingering = true;
             endRequests();
-            LingeringClose.begin(channel, () -> closeNow("the caller has not closed in time"));
+            LingeringClose.begin(channel, () -> cut("the caller has not closed in time"));
         }
     }
 
@@ -258,27 +263,42 @@
     }
 
     /**
-     * Closes the connection of a process that stops unless a request is in progress. One that has carried a response during the
-     * stop may still be delivering it. On any other one nothing is under way, so that it can be closed at once: a
-     * request that arrives later remains unread, and its caller may send it again.
+     * Closes the connection of a process that stops, if no request is in progress. One that has carried a response during the stop
+     * lingers already. On any other one nothing is under way unless the socket has not taken all bytes: it is closed at
+     * once, so that a request which crosses the close remains unread, and its caller may send it again.
      */
     void closeWhenIdle() {
         if (!isIdle() || lingering) {
             return;
         }
-        if (hasPendingWrites() || lastWrittenNs - server.stoppingSinceNs() > 0) {
+        if (hasPendingWrites()) {
             linger();
         } else {
             channel.close();
         }
     }
 
-    /** Closes a connection without a request, unless the caller may still be reading the last response. */
+    /** Closes a connection without a request when its last response is older than the idle timeout. */
     private void closeIfQuiet() {
-        long quietNs = System.nanoTime() - lastWrittenNs;
-        if (quietNs >= TimeUnit.MILLISECONDS.toNanos(server.idleTimeoutMs())) {
+        if (!isIdle() || hasPendingWrites() || lingering) {
+            return;
+        }
+        long idleNs = TimeUnit.MILLISECONDS.toNanos(server.idleTimeoutMs());
+        long remainingNs = idleNs - (System.nanoTime() - lastWrittenNs);
+        if (remainingNs <= 0) {
             channel.close();
+            return;
         }
+        long seenNs = lastWrittenNs;
+        channel.eventLoop()
+                .schedule(
+                        () -> {
+                            if (lastWrittenNs == seenNs) {
+                                closeIfQuiet();
+                            }
+                        },
+                        remainingNs,
+                        TimeUnit.NANOSECONDS);
     }
 
     private void beginRequest(HttpRequest request) {
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
@@ -39,7 +39,6 @@
     private final BufferMemory memory;
     private final Set<CallerConnection> connections = new HashSet<>();
     private boolean stopping;
-    private long stoppingSinceNs;
     private Channel serverChannel;
 
     public CallerServer(EventLoop loop, LoopLag lag, CallerHandler handler, Supplier<CallerLimits> limits) {
@@ -80,7 +79,6 @@
     /** Adds Connection: close to the last pending response of each connection. */
     public void stop() {
         stopping = true;
-        stoppingSinceNs = System.nanoTime();
     }
 
     /** Begins to close the connections without a pending request. */
@@ -110,11 +108,6 @@
         return stopping;
     }
 
-    /** Time at which {@link #stop} was called. */
-    long stoppingSinceNs() {
-        return stoppingSinceNs;
-    }
-
     long idleTimeoutMs() {
         return limits.get().idleTimeoutMs();
     }
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -121,8 +121,12 @@
         stopping = true;
     }
 
-    /** Begins to close the connections that have carried responses during the stop. No request may be running. */
+    /**
+     * Accepts no more connections, and begins to close those that have carried responses during the stop. No request may be
+     * running.
+     */
     public void closeConnections() {
+        close();
         List.copyOf(connections).forEach(Connection::closeAfterResponses);
     }
 
--- a/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestRouter.java
@@ -46,6 +46,8 @@
     private static final long LAST_RESPONSE_NS = 200_000_000L;
 
     private static final int MAX_KEY = 65_535;
+    /** Keeps times in ns within the range of the clock. Routes have shorter timeouts. */
+    private static final long MAX_DEADLINE_MS = TimeUnit.DAYS.toMillis(1);
 
     private final EventLoop loop;
     private final LoopLag lag;
@@ -314,7 +316,8 @@
             return route.timeoutMs();
         }
         try {
-            return Math.max(1, (long) Double.parseDouble(value.trim()));
+            long deadlineMs = (long) Double.parseDouble(value.trim());
+            return Math.min(MAX_DEADLINE_MS, Math.max(1, deadlineMs));
         } catch (NumberFormatException e) {
             EventLog.log(LogEvent.REQUEST_REJECTED, "header", names.deadlineMs(), "value", value, "used", "timeout");
             return route.timeoutMs();
--- a/router/src/main/java/org/siskintiller/router/request/RequestTask.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTask.java
@@ -362,8 +362,8 @@
      * of the network for the response.
      */
     private void lastResponseDue() {
-        if (isReceiving() && times.deadlineNs() > System.nanoTime()) {
-            deadlineTimer = schedule(this::deadlinePassed, times.deadlineNs());
+        if (isReceiving() && times.requestedDeadlineNs() > System.nanoTime()) {
+            deadlineTimer = schedule(this::deadlinePassed, times.requestedDeadlineNs());
             return;
         }
         deadlinePassed();
--- a/router/src/main/java/org/siskintiller/router/request/RequestTimes.java
+++ b/router/src/main/java/org/siskintiller/router/request/RequestTimes.java
@@ -5,12 +5,12 @@
  *
  * @param arrivedNs arrival of the request
  * @param lastResponseNs latest start of a response. While the process stops it is earlier than the deadline.
- * @param deadlineNs end of the time that the caller and the route allow
+ * @param requestedDeadlineNs end of the time that the caller and the route allow
  * @param callerDeadlineNs end of the time that the caller waits
  */
-record RequestTimes(long arrivedNs, long lastResponseNs, long deadlineNs, long callerDeadlineNs) {
+record RequestTimes(long arrivedNs, long lastResponseNs, long requestedDeadlineNs, long callerDeadlineNs) {
     RequestTimes {
-        if (lastResponseNs > deadlineNs || deadlineNs > callerDeadlineNs) {
+        if (lastResponseNs - requestedDeadlineNs > 0 || requestedDeadlineNs - callerDeadlineNs > 0) {
             throw new IllegalArgumentException("deadlines of a request out of order");
         }
     }
--- a/router/src/test/java/org/siskintiller/router/backend/BackendGateTest.java
+++ b/router/src/test/java/org/siskintiller/router/backend/BackendGateTest.java
@@ -85,7 +85,7 @@
     void receivesTheRestOfAResponseAfterTheDeadline() throws Exception {
         server = new ScriptedServer((response, number) -> {
             response.write("HTTP/1.1 200 OK\r\nid: slow\r\ncontent-length: 8\r\n\r\npart");
-            ScriptedServer.Response.pause(DEADLINE_MS + SETTLE_MS);
+            ScriptedServer.Response.pause(DEADLINE_MS + 200);
             response.write("rest");
         });
         BackendGate gate = gate();
--- a/router/src/test/java/org/siskintiller/router/ingress/DeliveryDuringStopTest.java
+++ b/router/src/test/java/org/siskintiller/router/ingress/DeliveryDuringStopTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
@@ -31,17 +32,16 @@
     private static final int READ_TIMEOUT_MS = 10_000;
     /** Time that the responses of one test take together on the link. */
     private static final int TRANSFER_S = 2;
-    /** Time in which all requests have reached the process. Their responses are on the link then. */
-    private static final long ARRIVAL_MS = 200;
 
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) loops.next();
     private final LoopLag lag = new LoopLag(loop, new MetricRegistry());
+    private final AtomicInteger handled = new AtomicInteger();
     private final CallerServer server = new CallerServer(loop, lag, this::handle, () -> CallerLimits.INITIAL);
     /** Paths of the requests that were ended without a response. */
     private final List<String> ended = new ArrayList<>();
     /** Response to the request for "/later". */
-    private CallerResponse later;
+    private volatile CallerResponse later;
 
     @BeforeEach
     void bind() throws IOException {
@@ -64,7 +64,7 @@
                     Socket caller = connect(link)) {
                 stop();
                 request(caller, bytes);
-                closeIdle();
+                closeIdleAfter(1);
 
                 assertThat(readBody(caller, bytes)).isEqualTo(bytes);
                 assertThat(caller.getInputStream().read()).isEqualTo(-1);
@@ -79,7 +79,7 @@
                     Socket caller = connect(link)) {
                 stop();
                 request(caller, bytes);
-                closeIdle();
+                closeIdleAfter(1);
                 Thread.sleep(TRANSFER_S * 1_000 / 2);
                 request(caller, bytes);
 
@@ -110,9 +110,9 @@
             try (SlowLink link = new SlowLink(server.port(), bytes / TRANSFER_S);
                     Socket caller = connect(link)) {
                 request(caller, bytes);
-                Thread.sleep(ARRIVAL_MS);
+                awaitRequests(1);
                 get(caller, "/cut");
-                Thread.sleep(ARRIVAL_MS);
+                awaitRequests(2);
                 request(caller, bytes);
 
                 assertThat(readBody(caller, bytes)).isEqualTo(bytes);
@@ -128,7 +128,7 @@
                 request(caller, bytes);
                 get(caller, "/later");
                 get(caller, "/open");
-                Thread.sleep(ARRIVAL_MS);
+                awaitRequests(3);
                 loop.submit(() -> cut(later)).get();
 
                 assertThat(loop.submit(() -> ended).get()).containsExactly("/open");
@@ -150,7 +150,7 @@
                     request(callers.get(callers.size() - 1), size);
                 }
                 stop();
-                closeIdle();
+                closeIdleAfter(sizes.length);
                 List<Thread> readers = new ArrayList<>();
                 int[] received = new int[sizes.length];
                 for (int i = 0; i < sizes.length; i++) {
@@ -181,11 +181,73 @@
                 request(caller, 10);
                 assertThat(readBody(caller, 10)).isEqualTo(10);
                 stop();
-                closeIdle();
+                closeIdleAfter(1);
 
                 assertThat(loop.submit(server::openConnections).get()).isEqualTo(0);
             }
         }
+
+        /** Guards against a stop that waits for a caller which has sent nothing, and against a request of it that is discarded. */
+        @Test
+        void isClosedAtOnceWithoutARequest() throws Exception {
+            stop();
+            try (Socket caller = new Socket("127.0.0.1", server.port())) {
+                while (loop.submit(server::openConnections).get() == 0) {
+                    Thread.sleep(1);
+                }
+                loop.submit(server::closeIdle).get();
+
+                assertThat(loop.submit(server::openConnections).get()).isEqualTo(0);
+            }
+        }
+
+        /** Guards against a caller that may send a request on a connection whose requests are discarded. */
+        @Test
+        void endsBehindAResponseThatWasBegunBeforeTheStop() throws Exception {
+            try (Socket caller = new Socket("127.0.0.1", server.port())) {
+                caller.setSoTimeout(READ_TIMEOUT_MS);
+                get(caller, "/later");
+                awaitRequests(1);
+                loop.submit(() -> later.start(new ResponseHead(200, List.of(), 4)))
+                        .get();
+                stop();
+                loop.submit(() -> later.data(new byte[4], true)).get();
+
+                assertThat(readBody(caller, 4)).isEqualTo(4);
+                assertThat(caller.getInputStream().read()).isEqualTo(-1);
+            }
+        }
+    }
+
+    @Nested
+    class IdleTimeout {
+        private static final int IDLE_MS = 1_000;
+        private static final int SERVICE_MS = 700;
+
+        private final CallerServer idleServer = new CallerServer(
+                loop, lag, DeliveryDuringStopTest.this::handle, () -> new CallerLimits(16_384, 1 << 20, IDLE_MS));
+
+        /** Guards against a connection that is closed while its caller may still use it, since its response took long. */
+        @Test
+        void countsFromTheLastResponse() throws Exception {
+            idleServer.bind(new Address("127.0.0.1", 0));
+            try (Socket caller = new Socket("127.0.0.1", idleServer.port())) {
+                caller.setSoTimeout(READ_TIMEOUT_MS);
+                get(caller, "/later");
+                awaitRequests(1);
+                Thread.sleep(SERVICE_MS);
+                loop.submit(() -> later.send(200, List.of(), new byte[4])).get();
+                assertThat(readBody(caller, 4)).isEqualTo(4);
+                // Callers reuse a connection that has been idle for up to four fifths of the timeout.
+                Thread.sleep(IDLE_MS * 4 / 5);
+                request(caller, 10);
+
+                assertThat(readBody(caller, 10)).isEqualTo(10);
+                assertThat(caller.getInputStream().read()).isEqualTo(-1);
+            } finally {
+                idleServer.close();
+            }
+        }
     }
 
     private void stop() throws Exception {
@@ -193,12 +255,19 @@
     }
 
     /** Closes the connections without a request, as a companion does when its last requests have arrived. */
-    private void closeIdle() throws Exception {
-        Thread.sleep(ARRIVAL_MS);
+    private void closeIdleAfter(int requests) throws Exception {
+        awaitRequests(requests);
         loop.submit(server::closeIdle).get();
     }
 
+    private void awaitRequests(int requests) throws InterruptedException {
+        while (handled.get() < requests) {
+            Thread.sleep(1);
+        }
+    }
+
     private Runnable handle(CallerRequest request, CallerResponse response) {
+        handled.incrementAndGet();
         switch (request.uri()) {
             case "/cut" -> cut(response);
             case "/later" -> {
--- a/router/src/test/java/org/siskintiller/router/request/PipelinedRequestsTest.java
+++ b/router/src/test/java/org/siskintiller/router/request/PipelinedRequestsTest.java
@@ -207,8 +207,13 @@
             stopWorkSoon();
             send("/once/1");
             nextAttempt("/once/1").begin();
+            long beginNs = System.nanoTime();
 
-            assertThat(readAll()).startsWith("HTTP/1.1 200");
+            String received = readAll();
+            assertThat(received).startsWith("HTTP/1.1 200");
+            assertThat(received).doesNotContain("\r\n0\r\n\r\n");
+            // The shortened deadline is less than half of that of the caller.
+            assertThat(System.nanoTime() - beginNs).isAtLeast(TimeUnit.MILLISECONDS.toNanos(ROUTE_TIMEOUT_MS / 2));
         }
 
         /** Guards against a response that is cut when the process answers the requests which are still open. */
@@ -239,6 +244,16 @@
         }
     }
 
+    /** Guards against a request without an answer when the time that its caller states exceeds the range of the clock. */
+    @Test
+    void answersARequestWithAnExcessiveDeadline() throws Exception {
+        caller.getOutputStream()
+                .write("GET /once/1 HTTP/1.1\r\nhost: host\r\nid: 1\r\ndeadline: 1e19\r\n\r\n"
+                        .getBytes(StandardCharsets.US_ASCII));
+
+        assertThat(readResponse()).startsWith("504");
+    }
+
     private static Route route(String name, String prefix, int maxAttempts) {
         return new Route(
                 name,
