Discard the requests behind a last response without a limit

Cause: Netty's HttpServerCodec fails when 128 requests have no response. Requests that arrive behind the last response of a closing connection never get one, so the 129th closed the connection, which reset it and dropped what had not arrived.

The limit of the codec is above what a connection decodes.

Result: DeliveryDuringStopTest.receivesTheWholeResponseAheadOfManyRequests failed before (its connection was closed when 128 requests had been counted) and passes.

--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -36,6 +36,8 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     /** Requests of one connection that are in progress at most. Further ones are not read from the socket. */
     private static final int MAX_PIPELINED = 32;
+    /** Requests behind the last one that is answered. Bytes after them are not decoded: the codec keeps something for each request. */
+    private static final int MAX_IGNORED_REQUESTS = 1_000;
     /** Time until memory may be available: most requests end within it. */
     private static final double RETRY_AFTER_MS = 500;
 
@@ -118,7 +120,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (closing) {
-                ignoredRequests += message instanceof HttpRequest ? 1 : 0;
+                ignore(message);
                 return;
             }
             if (message instanceof HttpRequest request) {
@@ -132,6 +134,16 @@
         }
     }
 
+    private void ignore(Object message) {
+        if (!(message instanceof HttpRequest)) {
+            return;
+        }
+        ignoredRequests++;
+        if (ignoredRequests == MAX_IGNORED_REQUESTS) {
+            channel.pipeline().addFirst(new DiscardingHandler());
+        }
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (!(event instanceof IdleStateEvent) || lingering) {
@@ -448,6 +460,14 @@
         exchange.reservedBytes = 0;
     }
 
+    /** Drops input, so that the connection ends by the close of its peer, not by a reset because of unread bytes. */
+    private static final class DiscardingHandler extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
     private static final class Exchange {
         private final CallerResponse response;
         private Runnable onDisconnect = () -> {};
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerServer.java
@@ -31,6 +31,11 @@
     private static final int MAX_CONSOLIDATED_FLUSHES = 64;
 
     private static final int MAX_INITIAL_LINE_BYTES = 16_384;
+    /**
+     * Requests without a response at which the codec fails, which closes the connection. Above what a connection decodes: requests in
+     * progress, ignored ones, and a last read of 64 KB with requests of 16 bytes or more.
+     */
+    private static final int MAX_UNANSWERED_REQUESTS = 8_192;
 
     private final EventLoop loop;
     private final CallerHandler handler;
@@ -65,7 +70,7 @@
                         .setMaxHeaderSize(limits.get().maxHeaderBytes());
                 channel.pipeline()
                         .addLast(new FlushConsolidationHandler(MAX_CONSOLIDATED_FLUSHES, true))
-                        .addLast(new HttpServerCodec(decoder))
+                        .addLast(new HttpServerCodec(decoder, MAX_UNANSWERED_REQUESTS))
                         .addLast(new IdleStateHandler(limits.get().idleTimeoutMs(), 0, 0, TimeUnit.MILLISECONDS))
                         .addLast(new CallerConnection(CallerServer.this));
             }
--- a/router/src/test/java/org/siskintiller/router/ingress/DeliveryDuringStopTest.java
+++ b/router/src/test/java/org/siskintiller/router/ingress/DeliveryDuringStopTest.java
@@ -34,6 +34,9 @@
     /** Time in which all requests have reached the process. Their responses are on the link then. */
     private static final long ARRIVAL_MS = 200;
 
+    /** More than the connection decodes once it accepts no further request. */
+    private static final int MANY_REQUESTS = 20_000;
+
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) loops.next();
     private final LoopLag lag = new LoopLag(loop, new MetricRegistry());
@@ -83,6 +86,24 @@
             }
         }
 
+        /** Guards against the same by the limit of the codec for requests without a response. */
+        @Test
+        void receivesTheWholeResponseAheadOfManyRequests() throws Exception {
+            int bytes = 1_000_000;
+            try (SlowLink link = new SlowLink(server.port(), bytes / TRANSFER_S);
+                    Socket caller = connect(link)) {
+                stop();
+                request(caller, bytes);
+                closeIdle();
+                for (int i = 0; i < MANY_REQUESTS; i++) {
+                    request(caller, 10);
+                }
+
+                assertThat(readBody(caller, bytes)).isEqualTo(bytes);
+                assertThat(caller.getInputStream().read()).isEqualTo(-1);
+            }
+        }
+
         /** Guards against the loss of a complete response when the one behind it cannot be completed. */
         @Test
         void receivesTheResponseAheadOfACutOne() throws Exception {
