Let a stop wait for responses that were written before it

Cause: a stop waited only for connections of companions that had carried a response since it began. A response that was written shortly before could still be in sockets or on the link when the process ended, 2.3 s later.

Change: a connection may be delivering until 10 s after its last response, which is longer than any request takes. What has arrived by then is not known, so the process waits until the other companion has read to the end and closes.

--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -191,7 +191,6 @@
             gate.endRequestsBy(lastDeadlineNs);
             control.stop();
             callerServer.stop();
-            peerServer.stop();
             loop.schedule(() -> refuseNewRequests(startNs), READINESS_NOTICE_MS, TimeUnit.MILLISECONDS);
         });
     }
--- a/router/src/main/java/org/siskintiller/router/LingeringClose.java
+++ b/router/src/main/java/org/siskintiller/router/LingeringClose.java
@@ -14,7 +14,7 @@
  */
 public final class LingeringClose {
     /** Longer than the deadlines of requests: a peer that has not closed by then does not wait for a response any more. */
-    private static final long LIMIT_MS = 10_000;
+    public static final long LIMIT_MS = 10_000;
 
     private LingeringClose() {}
 
--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -47,6 +47,9 @@
     /** Retry-After of requests for whose bodies there is no memory: most requests end within this time. */
     private static final long MEMORY_RETRY_AFTER_MS = 250;
 
+    /** Time from the writing of a response after which it has arrived, or nobody waits for it any more. */
+    private static final long MAX_DELIVERY_NS = TimeUnit.MILLISECONDS.toNanos(LingeringClose.LIMIT_MS);
+
     /** Frames that concern a request which was received before. */
     private static final Set<Frame.KindCase> RUNNING_KINDS = EnumSet.of(Frame.KindCase.CANCEL, Frame.KindCase.CREDIT);
 
@@ -64,7 +67,6 @@
     private final Set<Connection> connections = new HashSet<>();
     private final IntroductionCheck introductions;
     private long acceptedConnections;
-    private boolean stopping;
     private Channel server;
 
     public PeerServer(
@@ -116,12 +118,7 @@
         return pacer.waiting();
     }
 
-    /** Notes which connections carry responses from now on, since the process ends soon. */
-    public void stop() {
-        stopping = true;
-    }
-
-    /** Begins to close the connections that have carried responses during the stop. No request may be running. */
+    /** Begins to close the connections that may still be delivering responses. No request may be running. */
     public void closeConnections() {
         List.copyOf(connections).forEach(Connection::closeAfterResponses);
     }
@@ -163,9 +160,9 @@
         private PeerIdentity peer;
         /** Whether a later process of the instance is known. Only the requests that run go on. */
         private boolean isRetired;
-        /** Whether the connection has carried a response during the stop of the process. */
-        private boolean hasLateResponse;
 
+        private boolean hasResponded;
+        private long lastResponseNs;
         private boolean isLingering;
 
         private Connection(FrameMeter meter) {
@@ -281,12 +278,19 @@
         }
 
         private void writeResponse(Frame frame) {
-            hasLateResponse = stopping;
+            hasResponded = true;
+            lastResponseNs = System.nanoTime();
             channel.writeAndFlush(frame);
         }
 
+        /**
+         * Closes the connection when the other companion has read to its end. One that has not responded for longer than any
+         * request takes has nothing to deliver, and its other end may be silent. How much of the responses has arrived is
+         * not known: the sockets and the link may hold some for seconds after they were written.
+         */
         private void closeAfterResponses() {
-            if (hasLateResponse && !isLingering) {
+            boolean mayBeDelivering = hasResponded && System.nanoTime() - lastResponseNs < MAX_DELIVERY_NS;
+            if (mayBeDelivering && !isLingering) {
                 isLingering = true;
                 LingeringClose.begin(channel, channel::close);
             }
