--- a/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
+++ b/router/src/main/java/org/siskintiller/router/peer/PeerServer.java
@@ -64,7 +64,6 @@
     private final Set<Connection> connections = new HashSet<>();
     private final IntroductionCheck introductions;
     private long acceptedConnections;
-    private boolean stopping;
     private Channel server;
 
     public PeerServer(
@@ -116,15 +115,7 @@
         return pacer.waiting();
     }
 
-    /** Notes which connections carry responses from now on, since the process ends soon. */
-    public void stop() {
-        stopping = true;
-    }
-
-    /**
-     * Accepts no more connections, and begins to close those that have carried responses during the stop. No request may be
-     * running.
-     */
+    /** Accepts no more connections, and begins to close those that may still be delivering. No request may be running. */
     public void closeConnections() {
         close();
         List.copyOf(connections).forEach(Connection::closeAfterResponses);
@@ -132,7 +123,7 @@
 
     /** Whether a companion may not have received all responses yet. */
     public boolean isDelivering() {
-        return connections.stream().anyMatch(connection -> connection.isLingering);
+        return connections.stream().anyMatch(connection -> connection.isLingering && connection.mayBeDelivering());
     }
 
     /** Bytes of frames that have not been handed to the network yet. */
@@ -167,8 +158,10 @@
         private PeerIdentity peer;
         /** Whether a later process of the instance is known. Only the requests that run go on. */
         private boolean isRetired;
-        /** Whether the connection has carried a response during the stop of the process. */
-        private boolean hasLateResponse;
+
+        private boolean hasResponded;
+        /** Latest deadline of the requests whose responses the connection has carried. */
+        private long lastDeadlineNs;
 
         private boolean isLingering;
 
@@ -284,18 +277,28 @@
             }
         }
 
-        private void writeResponse(Frame frame) {
-            hasLateResponse = stopping;
+        private void writeResponse(Frame frame, long deadlineNs) {
+            lastDeadlineNs = hasResponded && lastDeadlineNs - deadlineNs > 0 ? lastDeadlineNs : deadlineNs;
+            hasResponded = true;
             channel.writeAndFlush(frame);
         }
 
+        /**
+         * Closes the connection when the other companion has read to its end. How much of the responses has arrived is not known:
+         * the sockets and the link may hold some for seconds after they were written.
+         */
         private void closeAfterResponses() {
             refuseIncomplete(RefusalReason.LEAVING);
-            if (hasLateResponse) {
+            if (mayBeDelivering()) {
                 linger();
             }
         }
 
+        /** Whether a caller still waits for a response that the connection has carried. */
+        private boolean mayBeDelivering() {
+            return hasResponded && lastDeadlineNs - System.nanoTime() > 0;
+        }
+
         private void linger() {
             if (!isLingering) {
                 isLingering = true;
@@ -376,6 +379,7 @@
         private final Connection connection;
         private final int id;
         private final String requestId;
+        private final long deadlineNs;
         /** Time that the request has waited on its way from the other companion. */
         private final long transitMs;
         /** Whether the body waits for the link. Small responses would wait for seconds behind those of downloads. */
@@ -397,6 +401,7 @@
             this.connection = connection;
             this.id = id;
             this.requestId = request.requestId();
+            this.deadlineNs = request.deadlineNs();
             this.transitMs = connection.meter.transitMs();
             this.isPaced = request.kind() == RequestKind.DOWNLOAD;
         }
@@ -546,7 +551,7 @@
 
         private void write(Frame frame) {
             if (isOpen()) {
-                connection.writeResponse(frame);
+                connection.writeResponse(frame, deadlineNs);
             }
         }
     }
--- a/router/src/test/java/org/siskintiller/router/peer/PeerServerTest.java
+++ b/router/src/test/java/org/siskintiller/router/peer/PeerServerTest.java
@@ -212,7 +212,6 @@
             link.write(FIRST.introductionTo(SELF.process()));
             link.request("r1", "service", LARGE_BODY_BYTES);
             link.next(Frame.KindCase.CREDIT);
-            loop.submit(server::stop).get();
             loop.submit(server::closeConnections).get();
 
             CompanionProto.Refusal refusal = link.next(Frame.KindCase.REFUSAL).getRefusal();
