Leave time for the log when a stop ends shortly before the kill

Cause, by reading: a stop that is not idle ends 0.5 s before the kill, and the exit then waits up to 0.5 s for a slow reader of the log. Which requests the killed processes held is not known.

Change: the log is waited for 0.15 s, and a stop ends 0.35 s before the kill; a response under way at the gate ends 0.45 s before it.

--- a/node/src/main/java/org/siskintiller/node/BatchedConsoleAppender.java
+++ b/node/src/main/java/org/siskintiller/node/BatchedConsoleAppender.java
@@ -22,7 +22,8 @@
     /** Lines that were logged less than this time before the process is killed are lost. */
     private static final long FLUSH_INTERVAL_MS = 200;
 
-    private static final long STOP_TIMEOUT_MS = 500;
+    /** A process that is about to be killed must not wait longer for a reader of its output that is slow. */
+    private static final long STOP_TIMEOUT_MS = 150;
 
     private final Queue<ILoggingEvent> queue = new ConcurrentLinkedQueue<>();
     private final AtomicInteger queued = new AtomicInteger();
--- a/router/src/main/java/org/siskintiller/router/Companion.java
+++ b/router/src/main/java/org/siskintiller/router/Companion.java
@@ -65,8 +65,11 @@
     private static final long READINESS_NOTICE_MS = 2_300;
     /** Requests that are still open are answered this long before the process is killed. */
     private static final long KILL_MARGIN_MS = 500;
-    /** A graceful stop ends this long before the process is killed. What has not been delivered by then is lost. */
-    private static final long EXIT_MARGIN_MS = 250;
+    /**
+     * A graceful stop ends this long before the process is killed: time for one more check and for the last lines of the log. What has
+     * not been delivered by then is lost.
+     */
+    private static final long EXIT_MARGIN_MS = 350;
 
     /** Requests that arrive during a stop end this long before it: time for the responses of the backend servers. */
     private static final long LAST_RESPONSES_MS = 400;
--- a/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
+++ b/router/src/main/java/org/siskintiller/router/backend/BackendGate.java
@@ -43,10 +43,10 @@
     /** At the deadline the backend server itself sends a response, which may take this long to arrive. */
     private static final long RESPONSE_MARGIN_NS = 150_000_000L;
     /**
-     * Time after the deadline for which a response that has begun may continue; its caller cancels it sooner. A stop ends 0.65 s
+     * Time after the deadline for which a response that has begun may continue; its caller cancels it sooner. A stop ends 0.55 s
      * after the last deadline.
      */
-    private static final long TRANSFER_MARGIN_NS = 550_000_000L;
+    private static final long TRANSFER_MARGIN_NS = 450_000_000L;
 
     private static final int FIRST_SERVER_ERROR = 500;
 
