Release responses that a lingering connection can't write

Cause: responses that waited behind a cut one kept their share of the memory for responses until the caller had closed the connection, up to 10 s. When that memory is used up, all new requests are refused.

Change: a connection that ends its requests releases the parts of their responses that were not written.

--- a/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerConnection.java
@@ -254,6 +254,7 @@
             if (exchange.response.isUnfinished() || !exchange.response.isFullyWritten()) {
                 exchange.onDisconnect.run();
             }
+            exchange.response.discardQueued();
         }
     }
 
--- a/router/src/main/java/org/siskintiller/router/ingress/CallerResponse.java
+++ b/router/src/main/java/org/siskintiller/router/ingress/CallerResponse.java
@@ -97,13 +97,18 @@
             return false;
         }
         started = false;
+        discardQueued();
+        connection.responseEnded();
+        return true;
+    }
+
+    /** Releases the parts that were not written. */
+    void discardQueued() {
         for (HttpObject message : queuedMessages) {
             connection.taken(bytes(message));
             ReferenceCountUtil.release(message);
         }
         queuedMessages.clear();
-        connection.responseEnded();
-        return true;
     }
 
     /**
--- a/router/src/test/java/org/siskintiller/router/ingress/CallerMemoryTest.java
+++ b/router/src/test/java/org/siskintiller/router/ingress/CallerMemoryTest.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -20,10 +21,14 @@
 import org.siskintiller.core.path.RequestMemory;
 import org.siskintiller.core.path.UnreadResponses;
 import org.siskintiller.router.LoopLag;
+import org.siskintiller.router.request.ResponseHead;
 
 import static com.google.common.truth.Truth.assertThat;
 
-/** Callers that send large bodies and read slowly. Requests to /large get a large response, /never none. */
+/**
+ * Callers that send large bodies and read slowly. Requests to /large get a large response, /never none, and /held one
+ * when the test writes it.
+ */
 class CallerMemoryTest {
     private static final int TIMEOUT_MS = 5_000;
     private static final int REQUEST_LIMIT_BYTES = 80_000;
@@ -36,8 +41,12 @@
     private final EventLoop loop = (EventLoop) loops.next();
     private final LoopLag lag = new LoopLag(loop, new MetricRegistry());
     private final AtomicInteger handled = new AtomicInteger();
-    private final BufferMemory memory = new BufferMemory(
-            loop, new MetricRegistry(), new RequestMemory(REQUEST_LIMIT_BYTES), new UnreadResponses<>(LARGE_BYTES / 2));
+    /** Responses to the requests for "/held". */
+    private final List<CallerResponse> held = new CopyOnWriteArrayList<>();
+
+    private final UnreadResponses<CallerConnection> unread = new UnreadResponses<>(LARGE_BYTES / 2);
+    private final BufferMemory memory =
+            new BufferMemory(loop, new MetricRegistry(), new RequestMemory(REQUEST_LIMIT_BYTES), unread);
     private final CallerServer server =
             new CallerServer(loop, lag, this::handle, () -> new CallerLimits(1_000, 1 << 20, IDLE_MS), memory);
 
@@ -121,14 +130,49 @@
         }
     }
 
+    @Nested
+    class ClosingConnections {
+        /** Guards against responses that can't be written any more, but hold memory until the caller closes the connection. */
+        @Test
+        void holdNoResponsesBehindACutOne() throws Exception {
+            try (Socket caller = send(get("/fast") + get("/held") + get("/held"))) {
+                await(() -> held.size() == 2);
+                loop.submit(() -> respond(held.get(1))).get();
+                assertThat(unreadBytes()).isEqualTo(LARGE_BYTES);
+                loop.submit(() -> cut(held.get(0))).get();
+
+                await(() -> unreadBytes() == 0);
+                assertThat(loop.submit(server::openConnections).get()).isEqualTo(1);
+            }
+        }
+    }
+
     private Runnable handle(CallerRequest request, CallerResponse response) {
         handled.incrementAndGet();
+        if (request.uri().equals("/held")) {
+            held.add(response);
+            return () -> {};
+        }
         if (!request.uri().equals("/never")) {
             response.send(200, List.of(), new byte[request.uri().equals("/large") ? LARGE_BYTES : 0]);
         }
         return () -> {};
     }
 
+    private static void respond(CallerResponse response) {
+        response.send(200, List.of(), new byte[LARGE_BYTES]);
+    }
+
+    private static void cut(CallerResponse response) {
+        response.start(new ResponseHead(200, List.of(), 1_000));
+        response.data(new byte[10], false);
+        response.abort();
+    }
+
+    private long unreadBytes() throws Exception {
+        return loop.submit(unread::totalBytes).get();
+    }
+
     private long heldBytes() throws Exception {
         return loop.submit(() -> memory.requests().heldBytes()).get();
     }
@@ -146,6 +190,10 @@
         return socket;
     }
 
+    private static String get(String path) {
+        return "GET " + path + " HTTP/1.1\r\nhost: a\r\n\r\n";
+    }
+
     private static String post(String path, int bytes) {
         return "POST " + path + " HTTP/1.1\r\nhost: a\r\ncontent-length: " + bytes + "\r\n\r\n";
     }
